--- /dev/null
+++ b/agent/announce.go
@@ -0,0 +1,122 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/controlpb"
+)
+
+// announcePeriod is the time between two heartbeats to the balancer.
+const announcePeriod = 500 * time.Millisecond
+
+// tick runs the model's timeouts, keeps the uplink and sends the heartbeat.
+func (r *Runtime) tick() {
+	now := r.config.Now()
+	r.update(TickMsg{})
+	if a, moved := r.parent.choose(now, r.follower.Balancers()); moved {
+		r.config.Log.Info().Str("balancer", a).Msg("announcing to another balancer")
+		r.uplink.Set([]string{a})
+	}
+	if now.Sub(r.said) >= announcePeriod {
+		r.announce()
+	}
+	r.publishState()
+}
+
+// announce sends the heartbeat, with everything that the roster holds.
+func (r *Runtime) announce() {
+	r.said = r.config.Now()
+	if r.up == nil {
+		return
+	}
+	s := r.State()
+	r.up.Send(&controlpb.Envelope{
+		Body: &controlpb.Envelope_Announce{
+			Announce: &controlpb.Announce{
+				Member:         r.member(),
+				IntentRevision: r.follower.Revision(),
+				RosterVersion:  uint64(r.follower.Version()),
+				Vitals: &controlpb.Vitals{
+					Active:     s.Active,
+					Limit:      s.Limit,
+					Capacity:   s.Capacity,
+					Cold:       s.Cold,
+					Restarts:   s.Restarts,
+					Away:       uint32(s.Away),
+					Violations: s.Stats.Violations,
+					Refused:    s.Stats.Refused,
+					Admitted:   s.Stats.Admitted,
+				},
+			},
+		},
+	})
+}
+
+func (r *Runtime) member() *controlpb.Member {
+	c := &r.config.Config
+	state := controlpb.MemberState_MEMBER_STATE_JOINED
+	switch {
+	case r.gone:
+		state = controlpb.MemberState_MEMBER_STATE_GONE
+	case r.leaving:
+		state = controlpb.MemberState_MEMBER_STATE_LEAVING
+	}
+	return &controlpb.Member{
+		Target:         string(c.Self),
+		Incarnation:    uint64(c.Incarnation),
+		Service:        c.Service,
+		Domain:         c.Domain,
+		PacketAddress:  r.config.Packets,
+		ControlAddress: r.config.Control,
+		Weight:         r.weight(),
+		State:          state,
+	}
+}
+
+// weightUnit rounds the announced weight, so that it moves seldom.
+const weightUnit = 25
+
+// weight is the learned capacity, rounded.
+func (r *Runtime) weight() uint32 {
+	c := r.model.Gate().Capacity()
+	return max(1, (c+weightUnit/2)/weightUnit*weightUnit)
+}
+
+// want asks the balancer for everything newer than what is held here.
+func (r *Runtime) want() {
+	if r.up == nil {
+		return
+	}
+	r.up.Send(&controlpb.Envelope{
+		Body: &controlpb.Envelope_Want{
+			Want: &controlpb.Want{
+				IntentRevision: r.follower.Revision(),
+				RosterVersion:  uint64(r.follower.Version()),
+				Service:        r.config.Config.Service,
+			},
+		},
+	})
+}
+
+// leftRoster reports whether the roster shows this target as leaving.
+func (r *Runtime) leftRoster() bool {
+	return !r.State().Joined
+}
+
+func (r *Runtime) publishState() {
+	now := r.config.Now()
+	g := r.model.Gate()
+	r.state.Store(&State{
+		Revision: r.follower.Revision(),
+		Version:  uint64(r.follower.Version()),
+		Active:   g.Active(),
+		Limit:    r.model.limit(now),
+		Capacity: g.Capacity(),
+		Away:     r.model.Away(),
+		Cold:     g.Cold(now),
+		Fenced:   r.model.fenced,
+		Joined:   r.model.self != nil && r.model.self.Homes,
+		Restarts: g.Restarts(),
+		Stats:    r.model.Stats(),
+	})
+}
--- /dev/null
+++ b/agent/config.go
@@ -0,0 +1,44 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/target"
+)
+
+const (
+	// syncTimeout bounds how long a new flow waits for peers to say what they
+	// hold. Known flows wait as long as a peer may hold them.
+	syncTimeout = time.Second
+	// syncRetry is the time after which an unanswered request is repeated.
+	syncRetry = 300 * time.Millisecond
+	// placementTimeout drops a placement that no peer has confirmed.
+	placementTimeout = 5 * time.Second
+	// closeLinger keeps a closed flow known, so that late packets reach the
+	// stack that can answer them.
+	closeLinger = 10 * time.Second
+	// holdTimeout drops a held packet; the caller's TCP repeats it.
+	holdTimeout = time.Second
+	// heldPackets bounds the packets held at a time.
+	heldPackets = 1024
+	// maxPlacements bounds the peers asked to take one new flow.
+	maxPlacements = 3
+	// spillSlack is how far above the mean use of the service a home still
+	// takes new flows itself.
+	spillSlack = 0.02
+	// loadPeriod is the longest time between two load reports to peers.
+	loadPeriod = time.Second
+	// loadStep is the change of use that is reported at once.
+	loadStep = 0.02
+)
+
+// Config says which target an agent serves.
+type Config struct {
+	Self        target.ID
+	Incarnation target.Incarnation
+	Service     string
+	Domain      string
+	Gate        target.GateConfig
+	// Seed feeds the choice among peers.
+	Seed uint64
+}
--- /dev/null
+++ b/agent/effect.go
@@ -0,0 +1,67 @@
+package agent
+
+import (
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/packet"
+	"github.com/lentilshed/lentilshed/service"
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// Effect is anything that the runtime does on behalf of Model.Update.
+type Effect any
+
+// DeliverEffect hands a packet to the local TCP stack.
+type DeliverEffect struct {
+	Data []byte
+}
+
+// ForwardEffect sends a packet to another agent.
+type ForwardEffect struct {
+	To   target.ID
+	Meta packet.Meta
+	Data []byte
+}
+
+// ResetEffect answers a packet with a TCP reset to the caller.
+type ResetEffect struct {
+	Data []byte
+}
+
+// DropEffect counts a dropped packet.
+type DropEffect struct {
+	Reason packet.Reason
+}
+
+// EndFlowEffect resets a local flow on both sides.
+type EndFlowEffect struct {
+	Key flow.Key
+}
+
+// SyncEffect sends a peer all flows that live here and have their home there.
+type SyncEffect struct {
+	To     target.ID
+	Vector service.Vector
+	Flows  []flow.Key
+}
+
+// SyncRequestEffect asks a peer for a SyncMsg at a vector or later.
+type SyncRequestEffect struct {
+	To     target.ID
+	Vector service.Vector
+}
+
+// RegisterEffect tells a home about single flows.
+type RegisterEffect struct {
+	To     target.ID
+	Opened []flow.Key
+	Ended  []flow.Key
+}
+
+// LoadEffect tells all peers how full this target is.
+type LoadEffect struct {
+	Active uint32
+	Limit  uint32
+}
+
+// WantEffect asks for tables newer than the held one.
+type WantEffect struct{}
--- /dev/null
+++ b/agent/event.go
@@ -0,0 +1,233 @@
+package agent
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/control"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/roster"
+	"github.com/lentilshed/lentilshed/service"
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// Messages that only the runtime handles.
+type (
+	upOpenMsg struct {
+		conn *control.Conn
+	}
+	upCloseMsg struct {
+		conn *control.Conn
+	}
+	upMsg struct {
+		conn     *control.Conn
+		envelope *controlpb.Envelope
+	}
+	peerOpenMsg struct {
+		conn *control.Conn
+	}
+	peerCloseMsg struct {
+		conn *control.Conn
+	}
+	leaveMsg struct{}
+	goneMsg  struct{}
+)
+
+// event handles what concerns the connections and passes the rest on.
+func (r *Runtime) event(m Msg) {
+	switch x := m.(type) {
+	case upOpenMsg:
+		r.up = x.conn
+		r.parent.opened(r.config.Now())
+		r.announce()
+	case upCloseMsg:
+		if r.up == x.conn {
+			r.up = nil
+			r.parent.closed(r.config.Now())
+		}
+	case upMsg:
+		r.upstream(x)
+	case peerOpenMsg:
+		r.peerOpened(x.conn)
+	case peerCloseMsg:
+		r.peerClosed(x.conn)
+	case leaveMsg:
+		r.leaving = true
+		r.update(StopMsg{})
+		r.announce()
+	case goneMsg:
+		r.gone = true
+		r.announce()
+	default:
+		r.update(m)
+	}
+}
+
+// upstream takes what the balancer passes on.
+func (r *Runtime) upstream(x upMsg) {
+	if x.conn != r.up {
+		return
+	}
+	changed := false
+	var err error
+	switch e := x.envelope.GetBody().(type) {
+	case *controlpb.Envelope_Beat:
+		r.parent.beat(r.config.Now())
+	case *controlpb.Envelope_Intent:
+		changed, err = r.follower.Intent(e.Intent)
+	case *controlpb.Envelope_Roster:
+		changed, err = r.follower.Roster(e.Roster)
+	}
+	if errors.Is(err, intent.ErrGap) || errors.Is(err, roster.ErrGap) {
+		r.want()
+	}
+	if changed {
+		r.adopt()
+	}
+}
+
+// adopt passes the newest table to the model and follows its peers.
+func (r *Runtime) adopt() {
+	if r.follower.Fenced() {
+		r.update(FencedMsg{})
+		return
+	}
+	t, ok := r.follower.Table()
+	if !ok {
+		return
+	}
+	r.dialPeers(t.Table)
+	r.update(t)
+	r.publishState()
+	r.announce()
+}
+
+func (r *Runtime) dialPeers(t *service.Table) {
+	var addresses []string
+	for i := range t.Targets {
+		if x := &t.Targets[i]; x.ID != r.config.Config.Self {
+			addresses = append(addresses, x.Control)
+		}
+	}
+	r.peers.Set(addresses)
+}
+
+// peerOpened replaces the connection of a peer. Whatever an earlier one still
+// carried may be lost, so the peer must list its flows again.
+func (r *Runtime) peerOpened(c *control.Conn) {
+	id := target.ID(c.Peer.GetName())
+	if c.Dialed {
+		r.dialed[id] = c
+		return
+	}
+	r.inbound[id] = c
+	r.update(PeerLostMsg{
+		From: id,
+	})
+}
+
+func (r *Runtime) peerClosed(c *control.Conn) {
+	id := target.ID(c.Peer.GetName())
+	if c.Dialed && r.dialed[id] == c {
+		delete(r.dialed, id)
+	}
+	if !c.Dialed && r.inbound[id] == c {
+		delete(r.inbound, id)
+		r.update(PeerLostMsg{
+			From: id,
+		})
+	}
+}
+
+func (r *Runtime) uplinkHandler() control.Handler {
+	return control.Handler{
+		Hello: func() *controlpb.Hello { return r.hello("agent") },
+		Bytes: &r.bytes,
+		Open: func(c *control.Conn) {
+			r.post(upOpenMsg{
+				conn: c,
+			})
+		},
+		Message: func(c *control.Conn, e *controlpb.Envelope) {
+			r.post(upMsg{
+				conn:     c,
+				envelope: e,
+			})
+		},
+		Close: func(c *control.Conn) {
+			r.post(upCloseMsg{
+				conn: c,
+			})
+		},
+	}
+}
+
+func (r *Runtime) peerHandler(dialed bool) control.Handler {
+	return control.Handler{
+		Hello: func() *controlpb.Hello { return r.hello("peer") },
+		Bytes: &r.bytes,
+		Open: func(c *control.Conn) {
+			r.post(peerOpenMsg{
+				conn: c,
+			})
+		},
+		Message: func(c *control.Conn, e *controlpb.Envelope) {
+			if m := peerMessage(target.ID(c.Peer.GetName()), e); m != nil && !dialed {
+				r.post(m)
+			}
+		},
+		Close: func(c *control.Conn) {
+			r.post(peerCloseMsg{
+				conn: c,
+			})
+		},
+	}
+}
+
+// peerMessage translates what another agent says; nil for anything unknown.
+func peerMessage(from target.ID, e *controlpb.Envelope) Msg {
+	switch x := e.GetBody().(type) {
+	case *controlpb.Envelope_SyncRequest:
+		return SyncRequestMsg{
+			From:   from,
+			Vector: vectorOf(x.SyncRequest.GetVector()),
+		}
+	case *controlpb.Envelope_Sync:
+		return SyncMsg{
+			From:   from,
+			Vector: vectorOf(x.Sync.GetVector()),
+			Flows:  keysOf(x.Sync.GetFlows()),
+		}
+	case *controlpb.Envelope_Register:
+		return RegisterMsg{
+			From:   from,
+			Opened: keysOf(x.Register.GetOpened()),
+			Ended:  keysOf(x.Register.GetEnded()),
+		}
+	case *controlpb.Envelope_Load:
+		return LoadMsg{
+			From:   from,
+			Active: x.Load.GetActive(),
+			Limit:  x.Load.GetLimit(),
+		}
+	}
+	return nil
+}
+
+func vectorOf(v *controlpb.Vector) service.Vector {
+	return service.Vector{
+		Intent: v.GetIntent(),
+		Roster: v.GetRoster(),
+	}
+}
+
+func keysOf(l []*controlpb.FlowKey) []flow.Key {
+	keys := make([]flow.Key, 0, len(l))
+	for _, k := range l {
+		keys = append(keys, flow.Key{
+			Source: k.GetSource(),
+			Port:   uint16(k.GetSourcePort()),
+		})
+	}
+	return keys
+}
--- /dev/null
+++ b/agent/follower.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/roster"
+	"github.com/lentilshed/lentilshed/service"
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// Follower keeps the part of the declared state and of the roster that an
+// agent needs, and turns it into messages for the Model.
+type Follower struct {
+	config   Config
+	document *intent.Document
+	roster   *roster.Roster
+}
+
+// NewFollower returns a follower that has heard nothing.
+func NewFollower(c Config, region string) *Follower {
+	return &Follower{
+		config:   c,
+		document: intent.NewDocument(region),
+		roster:   roster.NewRoster(),
+	}
+}
+
+// Revision returns the revision of the declared state in force here.
+func (f *Follower) Revision() uint64 {
+	return f.document.Revision
+}
+
+// Version returns the version of the roster in force here.
+func (f *Follower) Version() roster.Version {
+	return f.roster.Version
+}
+
+// Intent merges a delta. It returns intent.ErrGap when one is missing.
+func (f *Follower) Intent(m *controlpb.Intent) (bool, error) {
+	return f.document.Merge(m) //nolint:wrapcheck // The sentinel is documented.
+}
+
+// Roster merges a delta. It returns roster.ErrGap when one is missing.
+func (f *Follower) Roster(m *controlpb.Roster) (bool, error) {
+	t, err := f.roster.Merge(m)
+	return t != nil, err //nolint:wrapcheck // The sentinel is documented.
+}
+
+// Table returns the table message in force, or false while the service is
+// unknown.
+func (f *Follower) Table() (TableMsg, bool) {
+	t := service.Build(f.config.Service, f.document, f.roster)
+	if t == nil {
+		return TableMsg{}, false
+	}
+	s := f.document.Services[f.config.Service]
+	g := f.config.Gate
+	if n := s.GetFlowLimit(); n > 0 {
+		g.Limit = min(g.Limit, n)
+	}
+	g.ColdShare = s.GetColdShare()
+	g.Warmup = time.Duration(s.GetWarmupMs()) * time.Millisecond
+	m := TableMsg{
+		Table: t,
+		Gate:  g,
+	}
+	o := f.document.Targets[string(f.config.Self)]
+	if o.GetDraining() && o.GetDeadlineMs() > 0 {
+		m.Deadline = time.UnixMilli(o.GetDeadlineMs())
+	}
+	return m, true
+}
+
+// Fenced reports whether the roster holds a newer life of this target.
+func (f *Follower) Fenced() bool {
+	m := f.roster.Member(string(f.config.Self))
+	return m != nil && target.Incarnation(m.GetIncarnation()) > f.config.Incarnation
+}
+
+// Balancers returns the control addresses of living balancers, those of the
+// own failure domain first.
+func (f *Follower) Balancers() []string {
+	var near, far []string
+	for _, m := range f.roster.Service(roster.Instances) {
+		switch {
+		case m.GetState() == controlpb.MemberState_MEMBER_STATE_GONE:
+		case m.GetDomain() == f.config.Domain:
+			near = append(near, m.GetControlAddress())
+		default:
+			far = append(far, m.GetControlAddress())
+		}
+	}
+	return append(near, far...)
+}
--- /dev/null
+++ b/agent/load.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"math"
+	"time"
+)
+
+// loadReport remembers what was last said about this target's load.
+type loadReport struct {
+	at    time.Time
+	use   float64
+	limit uint32
+}
+
+// reportLoad tells peers when the load changed, and now and then anyway.
+func (m *Model) reportLoad(now time.Time) {
+	l := m.limit(now)
+	u := m.use(now)
+	changed := math.Abs(u-m.load.use) >= loadStep || l != m.load.limit
+	if !changed && now.Sub(m.load.at) < loadPeriod {
+		return
+	}
+	m.load = loadReport{
+		at:    now,
+		use:   u,
+		limit: l,
+	}
+	m.emit(LoadEffect{
+		Active: m.gate.Active(),
+		Limit:  l,
+	})
+}
+
+func (m *Model) peerLoad(now time.Time, x LoadMsg) {
+	p := m.peer(x.From, now)
+	p.active = x.Active
+	p.limit = x.Limit
+	p.placed = 0
+}
+
+// limit is what this target takes now; zero when it may take no new flow.
+func (m *Model) limit(now time.Time) uint32 {
+	if !m.admits() {
+		return 0
+	}
+	return m.gate.Limit(now)
+}
+
+// admits reports whether this target may take new flows at all.
+func (m *Model) admits() bool {
+	if m.stopping || m.fenced || m.self == nil {
+		return false
+	}
+	return m.self.Homes && !m.self.Out
+}
+
+func (m *Model) use(now time.Time) float64 {
+	return float64(m.gate.Active()) / float64(max(1, m.gate.Limit(now)))
+}
--- /dev/null
+++ b/agent/load_poller.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+const (
+	loadInterval = 250 * time.Millisecond
+	loadTimeout  = time.Second
+)
+
+// loadAnswer is what a backend server says about itself.
+type loadAnswer struct {
+	// Load is the part of what it can bear that is in use.
+	Load float64 `json:"load"`
+}
+
+// pollLoad reads the backend server's load report until the context ends. A
+// report that fails is left out.
+func pollLoad(ctx context.Context, url string, report func(float64)) {
+	h := &http.Client{
+		Timeout: loadTimeout,
+	}
+	t := time.NewTicker(loadInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if x, ok := readLoad(ctx, h, url); ok {
+			report(x)
+		}
+	}
+}
+
+func readLoad(ctx context.Context, h *http.Client, url string) (float64, bool) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, false
+	}
+	p, err := h.Do(q)
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = p.Body.Close() }()
+	var a loadAnswer
+	if p.StatusCode != http.StatusOK || json.NewDecoder(p.Body).Decode(&a) != nil {
+		return 0, false
+	}
+	return a.Load, true
+}
--- /dev/null
+++ b/agent/model.go
@@ -0,0 +1,223 @@
+// Package agent runs beside each backend server. Model decides about every
+// packet and flow without doing any I/O: Update takes a message and returns
+// effects, which Runtime performs.
+package agent
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/packet"
+	"github.com/lentilshed/lentilshed/service"
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// Model is the state of one agent. It knows exactly which flows its backend
+// server holds and, for the buckets it is home of, where other flows live. A
+// Model belongs to one goroutine.
+//
+//	m := agent.NewModel(config, now)
+//	for _, e := range m.Update(now, agent.TickMsg{}) { perform(e) }
+type Model struct {
+	config   Config
+	table    *service.Table
+	self     *service.Target
+	gate     *target.Gate
+	flows    map[flow.Key]*localFlow
+	away     map[flow.Key]*placement
+	peers    map[target.ID]*peer
+	gained   [service.BucketCount]gain
+	owed     map[target.ID]service.Vector
+	held     heldQueue
+	deadline time.Time
+	stopping bool
+	fenced   bool
+	load     loadReport
+	stats    Stats
+	rand     *rand.Rand
+	effects  []Effect
+}
+
+// localFlow is a flow that the backend server of this agent holds.
+type localFlow struct {
+	closing bool
+	expires time.Time
+}
+
+// gain is when a bucket came to this agent.
+type gain struct {
+	vector service.Vector
+	at     time.Time
+}
+
+// NewModel returns a model without a table; it drops packets until the first
+// TableMsg.
+func NewModel(c Config, now time.Time) *Model {
+	return &Model{
+		config: c,
+		gate:   target.NewGate(c.Gate, now),
+		flows:  map[flow.Key]*localFlow{},
+		away:   map[flow.Key]*placement{},
+		peers:  map[target.ID]*peer{},
+		owed:   map[target.ID]service.Vector{},
+		rand:   rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation))),
+	}
+}
+
+// Update takes one message and returns what is to be done. The result is valid
+// until the next call.
+func (m *Model) Update(now time.Time, msg Msg) []Effect {
+	m.effects = m.effects[:0]
+	switch x := msg.(type) {
+	case PacketMsg:
+		m.packet(now, x)
+	case TableMsg:
+		m.adopt(now, x)
+	case FencedMsg:
+		m.fenced = true
+		m.endAll(&m.stats.EndedDomainOut)
+	case SyncRequestMsg:
+		m.syncRequest(x)
+	case SyncMsg:
+		m.sync(now, x)
+	case RegisterMsg:
+		m.register(now, x)
+	case LoadMsg:
+		m.peerLoad(now, x)
+	case PeerLostMsg:
+		m.peerLost(now, x)
+	case FlowEndedMsg:
+		m.flowEnded(now, x)
+	case AnswerMsg:
+		m.gate.ObserveLatency(now, x.Latency)
+	case ReportMsg:
+		m.gate.ObserveLoad(now, x.Load)
+	case RestartMsg:
+		m.gate.TurnCold(now)
+	case StopMsg:
+		m.stopping = true
+	case TickMsg:
+		m.tick(now)
+	}
+	m.check()
+	return m.effects
+}
+
+// Stats returns the counters so far.
+func (m *Model) Stats() Stats {
+	return m.stats
+}
+
+// Gate returns the admission gate, for reading.
+func (m *Model) Gate() *target.Gate {
+	return m.gate
+}
+
+// Vector returns the version of the table in force here.
+func (m *Model) Vector() service.Vector {
+	if m.table == nil {
+		return service.Vector{}
+	}
+	return m.table.Vector
+}
+
+// Flows returns the number of local flows that have not closed.
+func (m *Model) Flows() int {
+	return int(m.gate.Active())
+}
+
+// Away returns the number of known flows that live at peers.
+func (m *Model) Away() int {
+	return len(m.away)
+}
+
+// Holds reports whether a flow lives here.
+func (m *Model) Holds(k flow.Key) bool {
+	f := m.flows[k]
+	return f != nil && !f.closing
+}
+
+func (m *Model) emit(e Effect) {
+	m.effects = append(m.effects, e)
+}
+
+func (m *Model) drop(r packet.Reason) {
+	m.stats.Dropped[r]++
+	m.emit(DropEffect{
+		Reason: r,
+	})
+}
+
+// check counts broken invariants; a run with any has failed.
+func (m *Model) check() {
+	if m.gate.Active() > m.config.Gate.Limit && m.config.Gate.Limit > 0 {
+		m.stats.Violations++
+	}
+}
+
+func (m *Model) flowEnded(now time.Time, x FlowEndedMsg) {
+	f := m.flows[x.Key]
+	if f == nil || f.closing {
+		return
+	}
+	f.closing = true
+	f.expires = now.Add(closeLinger)
+	m.gate.Release()
+	if x.Lost {
+		m.gate.ObserveLoss(now)
+	}
+}
+
+// endAll gives up every local flow and counts those still open.
+func (m *Model) endAll(counter *uint64) {
+	for k, f := range m.flows {
+		if f.closing {
+			continue
+		}
+		*counter++
+		m.emit(EndFlowEffect{
+			Key: k,
+		})
+	}
+}
+
+func (m *Model) tick(now time.Time) {
+	m.expire(now)
+	m.repeatRequests(now)
+	m.flushHeld(now)
+	m.reportLoad(now)
+	if !m.deadline.IsZero() && !now.Before(m.deadline) {
+		m.deadline = time.Time{}
+		m.endAll(&m.stats.EndedDeadline)
+	}
+}
+
+func (m *Model) expire(now time.Time) {
+	ended := map[target.ID][]flow.Key{}
+	for k, f := range m.flows {
+		if !f.closing || now.Before(f.expires) {
+			continue
+		}
+		delete(m.flows, k)
+		if h, ok := m.home(k); ok && h.ID != m.config.Self {
+			ended[h.ID] = append(ended[h.ID], k)
+		}
+	}
+	for id, keys := range ended {
+		m.sendRegister(id, nil, keys)
+	}
+	for k, p := range m.away {
+		if !p.confirmed && now.After(p.expires) {
+			delete(m.away, k)
+		}
+	}
+}
+
+// home returns the home of a flow under the table in force.
+func (m *Model) home(k flow.Key) (*service.Target, bool) {
+	if m.table == nil {
+		return nil, false
+	}
+	return m.table.HomeOf(k)
+}
--- /dev/null
+++ b/agent/msg.go
@@ -0,0 +1,92 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/packet"
+	"github.com/lentilshed/lentilshed/service"
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// Msg is anything that Model.Update takes.
+type Msg any
+
+// PacketMsg is a packet from a balancer or another agent. Data is the inner
+// packet; the model may keep it while the packet is held.
+type PacketMsg struct {
+	Meta  packet.Meta
+	Inner packet.Inner
+	Data  []byte
+}
+
+// TableMsg is a new routing table of the agent's service. A table that does
+// not cover the held one is ignored.
+type TableMsg struct {
+	Table *service.Table
+	Gate  target.GateConfig
+	// Deadline is when a drain ends the remaining flows; zero is never.
+	Deadline time.Time
+}
+
+// FencedMsg says that the roster holds a newer life of this target.
+type FencedMsg struct{}
+
+// SyncRequestMsg asks for the flows held in the sender's buckets.
+type SyncRequestMsg struct {
+	From   target.ID
+	Vector service.Vector
+}
+
+// SyncMsg is the whole list of flows that a peer holds in this agent's buckets.
+type SyncMsg struct {
+	From   target.ID
+	Vector service.Vector
+	Flows  []flow.Key
+}
+
+// RegisterMsg adds and removes single flows that a peer holds.
+type RegisterMsg struct {
+	From   target.ID
+	Opened []flow.Key
+	Ended  []flow.Key
+}
+
+// LoadMsg is how full a peer is.
+type LoadMsg struct {
+	From   target.ID
+	Active uint32
+	Limit  uint32
+}
+
+// PeerLostMsg says that the connection to a peer broke. Its load is unknown
+// until it reports again.
+type PeerLostMsg struct {
+	From target.ID
+}
+
+// FlowEndedMsg says that both directions of a local flow have closed, or that
+// it never opened. Lost is set when the backend server dropped it.
+type FlowEndedMsg struct {
+	Key  flow.Key
+	Lost bool
+}
+
+// AnswerMsg is the time that the backend server took for an answer.
+type AnswerMsg struct {
+	Latency time.Duration
+}
+
+// ReportMsg is the load that the backend server reports about itself.
+type ReportMsg struct {
+	Load float64
+}
+
+// RestartMsg says that the backend server was seen to restart.
+type RestartMsg struct{}
+
+// StopMsg asks the agent to take no more flows.
+type StopMsg struct{}
+
+// TickMsg drives timeouts. Send it several times a second.
+type TickMsg struct{}
--- /dev/null
+++ b/agent/perform.go
@@ -0,0 +1,140 @@
+package agent
+
+import (
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/packet"
+	"github.com/lentilshed/lentilshed/service"
+	"github.com/lentilshed/lentilshed/target"
+	"github.com/lentilshed/lentilshed/tcpstack"
+	"go.opentelemetry.io/otel/attribute"
+)
+
+// perform carries one effect out.
+func (r *Runtime) perform(e Effect) {
+	switch x := e.(type) {
+	case DeliverEffect:
+		r.stack.Inject(x.Data)
+	case ForwardEffect:
+		r.forward(x)
+	case ResetEffect:
+		r.output(tcpstack.Reset(x.Data))
+	case DropEffect:
+		r.drops[x.Reason].Inc(1)
+	case EndFlowEffect:
+		r.flows.end(x.Key)
+	case SyncEffect:
+		r.sendSync(x)
+	case SyncRequestEffect:
+		r.toPeer(x.To, &controlpb.Envelope{
+			Body: &controlpb.Envelope_SyncRequest{
+				SyncRequest: &controlpb.SyncRequest{
+					Target: string(r.config.Config.Self),
+					Vector: vectorMessage(x.Vector),
+				},
+			},
+		})
+	case RegisterEffect:
+		r.sendRegister(x)
+	case LoadEffect:
+		r.sendLoad(x)
+	case WantEffect:
+		r.want()
+	}
+}
+
+func (r *Runtime) forward(x ForwardEffect) {
+	t, ok := r.model.table.Find(x.To)
+	if !ok {
+		r.drops[packet.ReasonNoTarget].Inc(1)
+		return
+	}
+	if x.Meta.Sampled {
+		r.trace("agent.forward", x.Data, x.Meta, string(x.To))
+	}
+	r.outMu.Lock()
+	defer r.outMu.Unlock()
+	d, reason := r.outCodec.Encode(&x.Meta, x.Data)
+	if reason != packet.ReasonNone {
+		r.drops[reason].Inc(1)
+		return
+	}
+	if r.config.Send(r.socket, d, t.Packets) != nil {
+		r.drops[packet.ReasonSend].Inc(1)
+	}
+}
+
+func (r *Runtime) trace(name string, data []byte, m packet.Meta, to string) {
+	i, reason := packet.ParseInner(data)
+	if reason != packet.ReasonNone {
+		return
+	}
+	r.config.Tracer.Hop(i.Key.Trace(m.Service), name, attribute.String("flow", i.Key.String()), attribute.String("next_hop", to))
+}
+
+func (r *Runtime) sendSync(x SyncEffect) {
+	r.toPeer(x.To, &controlpb.Envelope{
+		Body: &controlpb.Envelope_Sync{
+			Sync: &controlpb.Sync{
+				Target:      string(r.config.Config.Self),
+				Incarnation: uint64(r.config.Config.Incarnation),
+				Vector:      vectorMessage(x.Vector),
+				Flows:       keyMessages(x.Flows),
+			},
+		},
+	})
+}
+
+func (r *Runtime) sendRegister(x RegisterEffect) {
+	r.toPeer(x.To, &controlpb.Envelope{
+		Body: &controlpb.Envelope_Register{
+			Register: &controlpb.Register{
+				Target: string(r.config.Config.Self),
+				Opened: keyMessages(x.Opened),
+				Ended:  keyMessages(x.Ended),
+			},
+		},
+	})
+}
+
+func (r *Runtime) sendLoad(x LoadEffect) {
+	e := &controlpb.Envelope{
+		Body: &controlpb.Envelope_Load{
+			Load: &controlpb.Load{
+				Target: string(r.config.Config.Self),
+				Active: x.Active,
+				Limit:  x.Limit,
+				Vector: vectorMessage(r.model.Vector()),
+			},
+		},
+	}
+	for id := range r.dialed {
+		r.toPeer(id, e)
+	}
+}
+
+// toPeer sends on the connection that this agent dialed. What cannot be sent is
+// lost; the peer notices the broken connection and asks for the whole list.
+func (r *Runtime) toPeer(id target.ID, e *controlpb.Envelope) {
+	if c := r.dialed[id]; c != nil {
+		c.Send(e)
+	}
+}
+
+func vectorMessage(v service.Vector) *controlpb.Vector {
+	return &controlpb.Vector{
+		Intent: v.Intent,
+		Roster: v.Roster,
+	}
+}
+
+func keyMessages(keys []flow.Key) []*controlpb.FlowKey {
+	l := make([]*controlpb.FlowKey, 0, len(keys))
+	for _, k := range keys {
+		l = append(l, &controlpb.FlowKey{
+			Source:     k.Source,
+			SourcePort: uint32(k.Port),
+		})
+	}
+	return l
+}
--- /dev/null
+++ b/agent/route.go
@@ -0,0 +1,201 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/packet"
+	"github.com/lentilshed/lentilshed/service"
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// packet decides about one packet.
+func (m *Model) packet(now time.Time, x PacketMsg) {
+	if r := m.acceptable(x); r != packet.ReasonNone {
+		m.drop(r)
+		return
+	}
+	if m.deliverLocal(x) {
+		return
+	}
+	switch x.Meta.Kind {
+	case packet.KindPlace:
+		m.place(now, x)
+	case packet.KindDeliver:
+		m.notHere(x)
+	case packet.KindForward, packet.KindRefused:
+		m.forward(now, x)
+	}
+}
+
+// acceptable rejects packets of other services and packets that nobody may
+// handle here.
+func (m *Model) acceptable(x PacketMsg) packet.Reason {
+	switch {
+	case m.table == nil || m.fenced:
+		return packet.ReasonFenced
+	case x.Meta.Service != m.table.ID || x.Inner.Destination != m.table.Address:
+		return packet.ReasonWrongService
+	case m.self != nil && m.self.Out:
+		return packet.ReasonDomainOut
+	case x.Meta.Hops > packet.MaxHops:
+		return packet.ReasonHops
+	}
+	return packet.ReasonNone
+}
+
+// deliverLocal hands over packets of flows that live here.
+func (m *Model) deliverLocal(x PacketMsg) bool {
+	f := m.flows[x.Inner.Key]
+	if f == nil {
+		return false
+	}
+	if f.closing && x.Inner.Initial() {
+		delete(m.flows, x.Inner.Key)
+		return false
+	}
+	m.emit(DeliverEffect{
+		Data: x.Data,
+	})
+	return true
+}
+
+// notHere tells the home that a flow has ended here.
+func (m *Model) notHere(x PacketMsg) {
+	if h, ok := m.home(x.Inner.Key); ok && h.ID != m.config.Self {
+		m.sendRegister(h.ID, nil, []flow.Key{x.Inner.Key})
+	}
+	m.drop(packet.ReasonUnsynced)
+}
+
+// forward finds the target of a flow that does not live here.
+func (m *Model) forward(now time.Time, x PacketMsg) {
+	if !m.table.Vector.Covers(x.Meta.Vector) {
+		m.emit(WantEffect{})
+		m.hold(now, x)
+		return
+	}
+	h, ok := m.home(x.Inner.Key)
+	switch {
+	case !ok:
+		m.noTarget(x)
+	case h.ID != m.config.Self:
+		m.send(h, packet.KindForward, x)
+	case x.Meta.Kind == packet.KindRefused:
+		m.refused(now, x)
+	default:
+		m.decide(now, x)
+	}
+}
+
+// decide handles a packet as the home of its flow.
+func (m *Model) decide(now time.Time, x PacketMsg) {
+	if p := m.away[x.Inner.Key]; p != nil {
+		m.decidePlaced(now, x, p)
+		return
+	}
+	b := m.table.Bucket(x.Inner.Key)
+	if x.Inner.Initial() {
+		if m.mayOpen(b, now) {
+			m.open(now, x, &placement{})
+			return
+		}
+		m.hold(now, x)
+		return
+	}
+	if !m.complete(b) {
+		m.hold(now, x)
+		return
+	}
+	m.resetUnknown(x)
+}
+
+// decidePlaced handles a packet of a flow that was given to a peer.
+func (m *Model) decidePlaced(now time.Time, x PacketMsg, p *placement) {
+	t, ok := m.table.Find(p.target)
+	if ok && !t.Out {
+		k := packet.KindDeliver
+		if x.Inner.Initial() {
+			k = packet.KindPlace
+		}
+		m.send(t, k, x)
+		return
+	}
+	delete(m.away, x.Inner.Key)
+	if x.Inner.Initial() {
+		m.open(now, x, &placement{})
+		return
+	}
+	m.stats.ResetOut++
+	m.reset(x)
+}
+
+// resetUnknown ends a flow that no live target holds.
+func (m *Model) resetUnknown(x PacketMsg) {
+	if x.Inner.Reset() {
+		m.drop(packet.ReasonUnsynced)
+		return
+	}
+	m.stats.ResetUnknown++
+	m.reset(x)
+}
+
+func (m *Model) noTarget(x PacketMsg) {
+	if x.Inner.Initial() {
+		m.stats.Refused++
+		m.reset(x)
+		return
+	}
+	m.drop(packet.ReasonNoTarget)
+}
+
+func (m *Model) reset(x PacketMsg) {
+	if x.Inner.Reset() {
+		return
+	}
+	m.emit(ResetEffect{
+		Data: x.Data,
+	})
+}
+
+func (m *Model) hold(now time.Time, x PacketMsg) {
+	if !m.held.push(x, now) {
+		m.drop(packet.ReasonQueueFull)
+	}
+}
+
+// flushHeld decides again about held packets and drops the expired ones.
+func (m *Model) flushHeld(now time.Time) {
+	for _, h := range m.held.take() {
+		if now.After(h.expires) {
+			m.drop(packet.ReasonUnsynced)
+			continue
+		}
+		m.packet(now, h.msg)
+	}
+}
+
+func (m *Model) send(t *service.Target, k packet.Kind, x PacketMsg) {
+	if t.Out {
+		m.drop(packet.ReasonDomainOut)
+		return
+	}
+	meta := x.Meta
+	meta.Kind = k
+	meta.Hops++
+	meta.Vector = m.table.Vector
+	m.emit(ForwardEffect{
+		To:   t.ID,
+		Meta: meta,
+		Data: x.Data,
+	})
+}
+
+func (m *Model) sendRegister(to target.ID, opened, ended []flow.Key) {
+	m.stats.ControlFlows += uint64(len(opened) + len(ended))
+	m.emit(RegisterEffect{
+		To:     to,
+		Opened: opened,
+		Ended:  ended,
+	})
+}
--- /dev/null
+++ b/agent/runtime.go
@@ -0,0 +1,396 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/control"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/packet"
+	"github.com/lentilshed/lentilshed/target"
+	"github.com/lentilshed/lentilshed/tcpstack"
+	"github.com/lentilshed/lentilshed/telemetry"
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	packetRing   = 4096
+	eventRing    = 1024
+	tickPeriod   = 50 * time.Millisecond
+	socketBuffer = 4 << 20
+	keepIdle     = 10 * time.Second
+	keepInterval = 2 * time.Second
+	keepCount    = 3
+)
+
+// RuntimeConfig says what a runtime works with.
+type RuntimeConfig struct {
+	Config  Config
+	Region  string
+	Packets string
+	Control string
+	// Balancers are control addresses to start from.
+	Balancers []string
+	// Fabric is where packets to callers are sent.
+	Fabric netip.AddrPort
+	// Backend is the backend server's TCP address.
+	Backend string
+	// LoadURL is the backend server's load report; empty for none.
+	LoadURL string
+	// KeepIdle is the silence after which a caller is probed; zero takes 10 s.
+	KeepIdle time.Duration
+	Log      *log.Logger
+	Scope    tally.Scope
+	Tracer   *telemetry.Tracer
+	// Send replaces the write of a packet; nil writes to the socket.
+	Send func(s *net.UDPConn, b []byte, to netip.AddrPort) error
+	// Now replaces the clock; nil takes time.Now.
+	Now func() time.Time
+}
+
+// Runtime performs the effects of a Model. One goroutine owns the model; one
+// reads packets; the TCP stack, the peers and the backend server have theirs.
+// Two bounded rings join them: packets are dropped when theirs is full, so that
+// control never waits behind data.
+type Runtime struct {
+	config   RuntimeConfig
+	model    *Model
+	follower *Follower
+	parent   *parent
+	packets  chan PacketMsg
+	events   chan Msg
+	stop     chan struct{}
+	stopOnce sync.Once
+	wait     sync.WaitGroup
+	socket   *net.UDPConn
+	stack    *tcpstack.Stack
+	server   *control.Server
+	peers    *control.Dialer
+	uplink   *control.Dialer
+	up       *control.Conn
+	dialed   map[target.ID]*control.Conn
+	inbound  map[target.ID]*control.Conn
+	flows    *flowTable
+	bytes    control.Bytes
+	codec    *packet.Codec
+	outMu    sync.Mutex
+	outCodec *packet.Codec
+	drops    [packet.ReasonCount]tally.Counter
+	state    atomic.Pointer[State]
+	leaving  bool
+	gone     bool
+	said     time.Time
+}
+
+// State is a snapshot of a running agent for health, metrics and reports.
+type State struct {
+	Revision uint64
+	Version  uint64
+	Active   uint32
+	Limit    uint32
+	Capacity uint32
+	Away     int
+	Cold     bool
+	Fenced   bool
+	Joined   bool
+	Restarts uint32
+	Stats    Stats
+}
+
+// NewRuntime opens the sockets and starts all duties.
+func NewRuntime(c RuntimeConfig) (*Runtime, error) {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Send == nil {
+		c.Send = sendNow
+	}
+	if c.KeepIdle == 0 {
+		c.KeepIdle = keepIdle
+	}
+	r := &Runtime{
+		config:   c,
+		model:    NewModel(c.Config, c.Now()),
+		follower: NewFollower(c.Config, c.Region),
+		parent:   newParent(string(c.Config.Self), c.Balancers),
+		packets:  make(chan PacketMsg, packetRing),
+		events:   make(chan Msg, eventRing),
+		stop:     make(chan struct{}),
+		dialed:   map[target.ID]*control.Conn{},
+		inbound:  map[target.ID]*control.Conn{},
+		flows:    newFlowTable(),
+		codec:    packet.NewCodec(),
+		outCodec: packet.NewCodec(),
+	}
+	for i := range r.drops {
+		r.drops[i] = c.Scope.Tagged(map[string]string{"reason": packet.Reason(i).String()}).Counter("packets_dropped")
+	}
+	r.state.Store(&State{})
+	if err := r.open(); err != nil {
+		return nil, err
+	}
+	r.start()
+	return r, nil
+}
+
+// Packets returns the address that takes packets from other instances.
+func (r *Runtime) Packets() netip.AddrPort {
+	a, _ := netip.ParseAddrPort(r.config.Packets)
+	return a
+}
+
+// Control returns the address of the control listener.
+func (r *Runtime) Control() string {
+	return r.server.Address()
+}
+
+// State returns the latest snapshot.
+func (r *Runtime) State() State {
+	return *r.state.Load()
+}
+
+// ControlBytes returns what control connections sent and received so far.
+func (r *Runtime) ControlBytes() (sent, received uint64) {
+	return r.bytes.Sent.Load(), r.bytes.Received.Load()
+}
+
+// Health returns nil while the target takes part in its service.
+func (r *Runtime) Health() error {
+	s := r.State()
+	switch {
+	case s.Fenced:
+		return ErrFenced
+	case !s.Joined:
+		return ErrNotJoined
+	}
+	return nil
+}
+
+// Leave takes no new flows and waits until the open ones have ended or the
+// context is done. It returns the number of flows that are left.
+func (r *Runtime) Leave(ctx context.Context) int {
+	r.post(leaveMsg{})
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	for {
+		n := int(r.State().Active)
+		if n == 0 && r.leftRoster() {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return n
+		case <-t.C:
+		}
+	}
+}
+
+// Close says goodbye and stops all duties. Flows that are still open are cut.
+func (r *Runtime) Close() {
+	r.post(goneMsg{})
+	time.Sleep(2 * tickPeriod)
+	r.Kill()
+}
+
+// Kill stops all duties at once, as a crash would.
+func (r *Runtime) Kill() {
+	r.stopOnce.Do(func() {
+		close(r.stop)
+		_ = r.socket.Close()
+		r.uplink.Close()
+		r.peers.Close()
+		r.server.Close()
+		r.stack.Close()
+		r.wait.Wait()
+	})
+}
+
+var (
+	// ErrFenced is the health of an agent that a newer life has replaced.
+	ErrFenced = errors.New("fenced by a newer life of this target")
+	// ErrNotJoined is the health of an agent that is not in the roster.
+	ErrNotJoined = errors.New("not in the roster yet")
+)
+
+func (r *Runtime) open() error {
+	a, err := netip.ParseAddrPort(r.config.Packets)
+	if err != nil {
+		return errors.Wrap(err, "packet address")
+	}
+	r.socket, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return errors.Wrap(err, "listen for packets")
+	}
+	_ = r.socket.SetReadBuffer(socketBuffer)
+	r.stack, err = tcpstack.New(tcpstack.Config{
+		Output:       r.output,
+		Accept:       r.accept,
+		KeepIdle:     r.config.KeepIdle,
+		KeepInterval: keepInterval,
+		KeepCount:    keepCount,
+	})
+	if err != nil {
+		_ = r.socket.Close()
+		return err
+	}
+	r.server, err = control.Listen(r.config.Control, r.peerHandler(false))
+	if err != nil {
+		_ = r.socket.Close()
+		r.stack.Close()
+		return err
+	}
+	r.config.Packets = r.socket.LocalAddr().String()
+	r.config.Control = r.server.Address()
+	r.peers = control.NewDialer(r.peerHandler(true))
+	r.uplink = control.NewDialer(r.uplinkHandler())
+	return nil
+}
+
+func (r *Runtime) start() {
+	r.wait.Add(2)
+	go r.run()
+	go r.read()
+	if r.config.LoadURL == "" {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.wait.Add(2)
+	go func() {
+		defer r.wait.Done()
+		<-r.stop
+		cancel()
+	}()
+	go func() {
+		defer r.wait.Done()
+		pollLoad(ctx, r.config.LoadURL, func(x float64) {
+			r.post(ReportMsg{
+				Load: x,
+			})
+		})
+	}()
+}
+
+// post queues an event for the model; it waits while the ring is full.
+func (r *Runtime) post(m Msg) {
+	select {
+	case r.events <- m:
+	case <-r.stop:
+	}
+}
+
+// answered queues an answer time unless the ring is busy.
+func (r *Runtime) answered(d time.Duration) {
+	select {
+	case r.events <- AnswerMsg{
+		Latency: d,
+	}:
+	default:
+	}
+}
+
+// run owns the model. Events go before packets.
+func (r *Runtime) run() {
+	defer r.wait.Done()
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.stop:
+			return
+		case m := <-r.events:
+			r.event(m)
+			continue
+		default:
+		}
+		select {
+		case <-r.stop:
+			return
+		case m := <-r.events:
+			r.event(m)
+		case p := <-r.packets:
+			r.update(p)
+		case <-t.C:
+			r.tick()
+		}
+	}
+}
+
+func (r *Runtime) update(m Msg) {
+	for _, e := range r.model.Update(r.config.Now(), m) {
+		r.perform(e)
+	}
+}
+
+// read takes packets from the socket.
+func (r *Runtime) read() {
+	defer r.wait.Done()
+	b := make([]byte, packet.MaxSize+1)
+	for {
+		n, _, err := r.socket.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		if reason := r.readOne(b[:n]); reason != packet.ReasonNone {
+			r.drops[reason].Inc(1)
+		}
+	}
+}
+
+func (r *Runtime) readOne(b []byte) packet.Reason {
+	m, p, reason := r.codec.Decode(b)
+	if reason != packet.ReasonNone {
+		return reason
+	}
+	i, reason := packet.ParseInner(p)
+	if reason != packet.ReasonNone {
+		return reason
+	}
+	x := PacketMsg{
+		Meta:  m,
+		Inner: i,
+		Data:  append([]byte(nil), p...),
+	}
+	select {
+	case r.packets <- x:
+		return packet.ReasonNone
+	default:
+		return packet.ReasonQueueFull
+	}
+}
+
+// output sends a packet of the TCP stack straight to the fabric.
+func (r *Runtime) output(b []byte) {
+	r.outMu.Lock()
+	defer r.outMu.Unlock()
+	d, reason := r.outCodec.EncodePlain(b)
+	if reason != packet.ReasonNone {
+		return
+	}
+	_ = r.config.Send(r.socket, d, r.config.Fabric)
+}
+
+func (r *Runtime) hello(role string) *controlpb.Hello {
+	c := &r.config.Config
+	s := r.State()
+	return &controlpb.Hello{
+		Name:           string(c.Self),
+		Domain:         c.Domain,
+		Region:         r.config.Region,
+		Role:           role,
+		ControlAddress: r.config.Control,
+		IntentRevision: s.Revision,
+		RosterVersion:  s.Version,
+		Service:        c.Service,
+	}
+}
+
+func sendNow(s *net.UDPConn, b []byte, to netip.AddrPort) error {
+	_, err := s.WriteToUDPAddrPort(b, to)
+	return err //nolint:wrapcheck // The caller only counts it.
+}
--- /dev/null
+++ b/agent/splice.go
@@ -0,0 +1,151 @@
+package agent
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/tcpstack"
+)
+
+const (
+	dialTimeout  = 2 * time.Second
+	spliceBuffer = 8 << 10
+	// backendIdle and its companions find a backend server that has lost a flow.
+	backendIdle     = 10 * time.Second
+	backendInterval = 2 * time.Second
+	backendProbes   = 3
+)
+
+// splice joins one caller's flow to the backend server's TCP port.
+type splice struct {
+	caller  *tcpstack.Conn
+	backend *net.TCPConn
+	// asked is when the caller's latest unanswered bytes went out, in Unix
+	// nanoseconds; zero while nothing is unanswered.
+	asked  atomic.Int64
+	answer func(time.Duration)
+	lost   atomic.Bool
+}
+
+var spliceBuffers = sync.Pool{
+	New: func() any {
+		b := make([]byte, spliceBuffer)
+		return &b
+	},
+}
+
+// accept opens the backend server's side first, so that a caller is answered
+// only when there is somebody to serve it.
+func (r *Runtime) accept(q *tcpstack.Request) {
+	k := flow.NewKey(q.From)
+	b, err := net.DialTimeout("tcp", r.config.Backend, dialTimeout)
+	if err != nil {
+		q.Refuse()
+		r.post(RestartMsg{})
+		r.post(FlowEndedMsg{
+			Key: k,
+		})
+		return
+	}
+	c, err := q.Accept()
+	if err != nil {
+		_ = b.Close()
+		r.post(FlowEndedMsg{
+			Key: k,
+		})
+		return
+	}
+	t, _ := b.(*net.TCPConn)
+	keepBackendAlive(t)
+	s := &splice{
+		caller:  c,
+		backend: t,
+		answer:  r.answered,
+	}
+	r.flows.add(k, c)
+	s.run()
+	r.flows.remove(k)
+	r.post(FlowEndedMsg{
+		Key:  k,
+		Lost: s.lost.Load(),
+	})
+}
+
+// run copies both ways until both sides have closed.
+func (s *splice) run() {
+	var w sync.WaitGroup
+	w.Add(1)
+	go func() {
+		defer w.Done()
+		s.copyIn()
+	}()
+	s.copyOut()
+	w.Wait()
+	_ = s.caller.Close()
+	_ = s.backend.Close()
+}
+
+// copyIn copies from the caller to the backend server.
+func (s *splice) copyIn() {
+	err := transfer(s.backend, s.caller, func() {
+		s.asked.CompareAndSwap(0, time.Now().UnixNano())
+	})
+	if err != nil {
+		_ = s.backend.SetLinger(0)
+		_ = s.backend.Close()
+		return
+	}
+	_ = s.backend.CloseWrite()
+}
+
+// copyOut copies from the backend server to the caller. A backend server that
+// breaks off makes the caller's side break off too, so that part of an answer
+// never looks whole.
+func (s *splice) copyOut() {
+	err := transfer(s.caller, s.backend, func() {
+		if t := s.asked.Swap(0); t != 0 {
+			s.answer(time.Duration(time.Now().UnixNano() - t))
+		}
+	})
+	if err != nil {
+		s.lost.Store(true)
+		s.caller.Abort()
+		return
+	}
+	_ = s.caller.CloseWrite()
+}
+
+// transfer copies until end of file and calls seen before each write.
+func transfer(to io.Writer, from io.Reader, seen func()) error {
+	p, _ := spliceBuffers.Get().(*[]byte)
+	defer spliceBuffers.Put(p)
+	b := *p
+	for {
+		n, err := from.Read(b)
+		if n > 0 {
+			seen()
+			if _, err := to.Write(b[:n]); err != nil {
+				return err //nolint:wrapcheck // Only whether it failed matters.
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err //nolint:wrapcheck // Only whether it failed matters.
+		}
+	}
+}
+
+func keepBackendAlive(c *net.TCPConn) {
+	_ = c.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     backendIdle,
+		Interval: backendInterval,
+		Count:    backendProbes,
+	})
+}
--- /dev/null
+++ b/agent/stats.go
@@ -0,0 +1,21 @@
+package agent
+
+import "github.com/lentilshed/lentilshed/packet"
+
+// Stats counts what a model has decided.
+type Stats struct {
+	Admitted     uint64
+	Placed       uint64
+	Refused      uint64
+	ResetUnknown uint64
+	ResetOut     uint64
+	// EndedDomainOut and EndedDeadline count local flows that were given up.
+	EndedDomainOut uint64
+	EndedDeadline  uint64
+	// Violations counts broken invariants. It stays zero.
+	Violations uint64
+	// RefusedWithRoom counts refusals while a peer seemed to have room.
+	RefusedWithRoom uint64
+	Dropped         [packet.ReasonCount]uint64
+	ControlFlows    uint64
+}
--- /dev/null
+++ b/balancer/config.go
@@ -0,0 +1,43 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/lease"
+)
+
+const (
+	// beatPeriod is the time between two beats of the registrar.
+	beatPeriod = time.Second
+	// pingPeriod is the time between two pings to the registrar.
+	pingPeriod = time.Second
+	// pingTimeout is the silence after which the registrar gives a balancer up.
+	pingTimeout = 3 * time.Second
+	// announceTimeout is the silence after which a target has lapsed.
+	announceTimeout = 2 * time.Second
+	// resendPeriod is the least time between two repeats of a lost delta.
+	resendPeriod = time.Second
+	// isolationTimeout is the silence after which a balancer without peers
+	// stops sending: it can no longer know which failure domains are out.
+	isolationTimeout = 4 * time.Second
+	// contendStep delays contenders for the lease by their rank.
+	contendStep = 300 * time.Millisecond
+	// deputies is the number of balancers besides the registrar that watch the
+	// platform, so that an accepted change outlives the registrar.
+	deputies = 2
+	// links is the number of balancers that each balancer dials.
+	links = 4
+)
+
+// Config says who a balancer is and whom it knows at the start.
+type Config struct {
+	Name        string
+	Region      string
+	Domain      string
+	Incarnation uint64
+	Packets     string
+	Control     string
+	// Seeds are control addresses of balancers to start from.
+	Seeds []string
+	Lease lease.Config
+}
--- /dev/null
+++ b/balancer/effect.go
@@ -0,0 +1,28 @@
+package balancer
+
+import "github.com/lentilshed/lentilshed/controlpb"
+
+// Effect is anything that the runtime does on behalf of Model.Update; the
+// effects of package lease too.
+type Effect any
+
+// SendEffect sends a message on a control connection.
+type SendEffect struct {
+	Conn     ConnID
+	Envelope *controlpb.Envelope
+}
+
+// DialEffect replaces the addresses that connections are kept to.
+type DialEffect struct {
+	Addresses []string
+}
+
+// WatchEffect starts or stops the watch of the accepted document.
+type WatchEffect struct {
+	On bool
+}
+
+// RoutesEffect puts routes in force for packets.
+type RoutesEffect struct {
+	Routes *Routes
+}
--- /dev/null
+++ b/balancer/msg.go
@@ -0,0 +1,38 @@
+package balancer
+
+import (
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/intent"
+)
+
+// ConnID names one open control connection.
+type ConnID uint64
+
+// Msg is anything that Model.Update takes; the messages of package lease too.
+type Msg any
+
+// OpenMsg is a new control connection.
+type OpenMsg struct {
+	Conn  ConnID
+	Hello *controlpb.Hello
+}
+
+// CloseMsg is the end of a control connection.
+type CloseMsg struct {
+	Conn ConnID
+}
+
+// EnvelopeMsg is a message on a control connection.
+type EnvelopeMsg struct {
+	Conn     ConnID
+	Envelope *controlpb.Envelope
+}
+
+// AcceptedMsg is the document that the platform holds. It repeats unchanged as
+// proof that the platform answers.
+type AcceptedMsg struct {
+	Document *intent.Document
+}
+
+// TickMsg drives timeouts. Send it several times a second.
+type TickMsg struct{}
--- /dev/null
+++ b/balancer/perform.go
@@ -0,0 +1,25 @@
+package balancer
+
+import (
+	"github.com/lentilshed/lentilshed/lease"
+)
+
+// perform carries one effect out.
+func (r *Runtime) perform(e Effect) {
+	switch x := e.(type) {
+	case SendEffect:
+		if c := r.conns.conn(x.Conn); c != nil {
+			c.Send(x.Envelope)
+		}
+	case DialEffect:
+		r.dialer.Set(x.Addresses)
+	case WatchEffect:
+		r.watcher.set(x.On)
+	case RoutesEffect:
+		r.routes.Store(x.Routes)
+	case lease.ReadEffect:
+		r.lease.read()
+	case lease.WriteEffect:
+		r.lease.write(x)
+	}
+}
--- /dev/null
+++ b/balancer/watcher.go
@@ -0,0 +1,80 @@
+package balancer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/platform"
+)
+
+const (
+	watchWait     = 10 * time.Second
+	watchPause    = 200 * time.Millisecond
+	watchPauseMax = 3 * time.Second
+)
+
+// watcher follows the accepted document on the platform while it is on.
+type watcher struct {
+	store  *intent.Store
+	post   func(Msg)
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+func newWatcher(s *intent.Store, post func(Msg)) *watcher {
+	return &watcher{
+		store: s,
+		post:  post,
+	}
+}
+
+func (w *watcher) set(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if on == (w.cancel != nil) {
+		return
+	}
+	if !on {
+		w.cancel()
+		w.cancel = nil
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.wait.Add(1)
+	go w.run(ctx)
+}
+
+func (w *watcher) close() {
+	w.set(false)
+	w.wait.Wait()
+}
+
+func (w *watcher) run(ctx context.Context) {
+	defer w.wait.Done()
+	after := platform.Version(0)
+	pause := watchPause
+	for ctx.Err() == nil {
+		h, err := w.store.Watch(ctx, after, watchWait)
+		switch {
+		case err == nil:
+			after = h.Version
+			pause = watchPause
+			w.post(AcceptedMsg{
+				Document: h.Document,
+			})
+			continue
+		case errors.Is(err, platform.ErrNotFound):
+			w.post(AcceptedMsg{})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, watchPauseMax)
+	}
+}
--- /dev/null
+++ b/cmd/lentilshed/demo.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/demo"
+	"github.com/spf13/cobra"
+)
+
+type demoFlags struct {
+	seconds     float64
+	seed        uint64
+	faults      bool
+	json        bool
+	logs        bool
+	connections int
+	flows       int
+}
+
+func newDemoCommand(out, errOut io.Writer) *cobra.Command {
+	var f demoFlags
+	c := &cobra.Command{
+		Use:   "demo",
+		Short: "Run the whole system with stand-ins in this process and report what held",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return runDemo(f, out, errOut)
+		},
+	}
+	c.Flags().Float64Var(&f.seconds, "seconds", 30, "length of the run")
+	c.Flags().Uint64Var(&f.seed, "seed", 1, "seed of everything random")
+	c.Flags().BoolVar(&f.faults, "faults", false, "add loss, duplication, reordering and platform faults")
+	c.Flags().BoolVar(&f.json, "json", false, "print the report as one JSON object")
+	c.Flags().BoolVar(&f.logs, "logs", false, "show the instances' logs")
+	c.Flags().IntVar(&f.connections, "connections", 2000, "flows that the fastest target bears")
+	c.Flags().IntVar(&f.flows, "flows", 3000, "live flows over all services")
+	return c
+}
+
+func runDemo(f demoFlags, out, errOut io.Writer) error {
+	if f.seconds < 10 {
+		return errors.New("--seconds: must be at least 10")
+	}
+	if f.connections < 10 || f.flows < 1 {
+		return errors.New("--connections: must be at least 10, and --flows at least 1")
+	}
+	o := demo.Options{
+		Length:      time.Duration(f.seconds * float64(time.Second)),
+		Seed:        f.seed,
+		Faults:      f.faults,
+		Connections: f.connections,
+		Flows:       f.flows,
+		Progress:    errOut,
+	}
+	if f.logs {
+		o.Log = errOut
+	}
+	r, err := demo.Start(o)
+	if r == nil {
+		return errors.Wrap(err, "demo")
+	}
+	if f.json {
+		if e := json.NewEncoder(out).Encode(r); e != nil {
+			return errors.Wrap(e, "write report")
+		}
+		return err //nolint:wrapcheck // The sentinel decides the exit status.
+	}
+	r.Write(out)
+	return err //nolint:wrapcheck // The sentinel decides the exit status.
+}
--- /dev/null
+++ b/control/conn.go
@@ -0,0 +1,213 @@
+// Package control carries control messages between the processes of the
+// system: protobuf envelopes on one yamux stream per connection.
+package control
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"google.golang.org/protobuf/encoding/protodelim"
+)
+
+// ErrHello is returned for a peer that does not open with a hello.
+var ErrHello = errors.New("peer did not say hello")
+
+const (
+	// ringSize bounds the messages waiting to be written to one peer. A peer
+	// that falls behind is cut off and starts again with a fresh hello.
+	ringSize        = 512
+	handshakeWait   = 2 * time.Second
+	keepAlive       = 2 * time.Second
+	writeTimeout    = 3 * time.Second
+	maxMessageBytes = 4 << 20
+)
+
+// Bytes counts what control connections sent and received.
+type Bytes struct {
+	Sent     atomic.Uint64
+	Received atomic.Uint64
+}
+
+// Conn is one connection to a peer. Send is safe for concurrent use.
+type Conn struct {
+	// Peer is the peer's hello.
+	Peer *controlpb.Hello
+	// Dialed is true on the side that opened the connection, with its address.
+	Dialed  bool
+	Address string
+
+	session *yamux.Session
+	stream  net.Conn
+	ring    chan *controlpb.Envelope
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Handler takes what happens on connections. The functions are called from
+// the goroutine that reads the connection.
+type Handler struct {
+	// Hello returns what this process says when a connection opens.
+	Hello func() *controlpb.Hello
+	Open  func(c *Conn)
+	// Message takes one envelope of an open connection.
+	Message func(c *Conn, e *controlpb.Envelope)
+	Close   func(c *Conn)
+	// Bytes counts the traffic; nil counts nothing.
+	Bytes *Bytes
+}
+
+// Send queues a message. It returns false when the connection is closed or the
+// peer has fallen so far behind that the connection was cut.
+func (c *Conn) Send(e *controlpb.Envelope) bool {
+	select {
+	case <-c.closed:
+		return false
+	default:
+	}
+	select {
+	case c.ring <- e:
+		return true
+	default:
+		c.Close()
+		return false
+	}
+}
+
+// Close cuts the connection. It may be called more than once.
+func (c *Conn) Close() {
+	c.once.Do(func() {
+		close(c.closed)
+		_ = c.session.Close()
+	})
+}
+
+// dial opens a connection and says hello.
+func dial(address string, h Handler) (*Conn, error) {
+	n, err := net.DialTimeout("tcp", address, handshakeWait)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	s, err := yamux.Client(count(n, h.Bytes), sessionConfig())
+	if err != nil {
+		_ = n.Close()
+		return nil, errors.Wrap(err, "open session")
+	}
+	t, err := s.Open()
+	if err != nil {
+		_ = s.Close()
+		return nil, errors.Wrap(err, "open stream")
+	}
+	c := newConn(s, t)
+	c.Dialed = true
+	c.Address = address
+	return c, nil
+}
+
+// accept takes the stream that a peer opened on a new connection.
+func accept(n net.Conn, h Handler) (*Conn, error) {
+	s, err := yamux.Server(count(n, h.Bytes), sessionConfig())
+	if err != nil {
+		_ = n.Close()
+		return nil, errors.Wrap(err, "open session")
+	}
+	timer := time.AfterFunc(handshakeWait, func() { _ = s.Close() })
+	defer timer.Stop()
+	t, err := s.Accept()
+	if err != nil {
+		_ = s.Close()
+		return nil, errors.Wrap(err, "accept stream")
+	}
+	return newConn(s, t), nil
+}
+
+func newConn(s *yamux.Session, t net.Conn) *Conn {
+	return &Conn{
+		session: s,
+		stream:  t,
+		ring:    make(chan *controlpb.Envelope, ringSize),
+		closed:  make(chan struct{}),
+	}
+}
+
+// serve exchanges hellos and reads until the connection closes.
+func (c *Conn) serve(h Handler) error {
+	defer c.Close()
+	c.Send(&controlpb.Envelope{
+		Body: &controlpb.Envelope_Hello{
+			Hello: h.Hello(),
+		},
+	})
+	go c.write()
+	r := bufio.NewReader(c.stream)
+	if err := c.readHello(r); err != nil {
+		return err
+	}
+	h.Open(c)
+	defer h.Close(c)
+	for {
+		e, err := readEnvelope(r)
+		if err != nil {
+			return err
+		}
+		h.Message(c, e)
+	}
+}
+
+func (c *Conn) readHello(r *bufio.Reader) error {
+	timer := time.AfterFunc(handshakeWait, c.Close)
+	defer timer.Stop()
+	e, err := readEnvelope(r)
+	if err != nil {
+		return err
+	}
+	c.Peer = e.GetHello()
+	if c.Peer == nil {
+		return ErrHello
+	}
+	return nil
+}
+
+// write sends queued messages, several in one flush when they wait.
+func (c *Conn) write() {
+	defer c.Close()
+	w := bufio.NewWriter(c.stream)
+	for {
+		select {
+		case <-c.closed:
+			return
+		case e := <-c.ring:
+			if _, err := protodelim.MarshalTo(w, e); err != nil {
+				return
+			}
+			if len(c.ring) == 0 && w.Flush() != nil {
+				return
+			}
+		}
+	}
+}
+
+func readEnvelope(r *bufio.Reader) (*controlpb.Envelope, error) {
+	e := &controlpb.Envelope{}
+	o := protodelim.UnmarshalOptions{
+		MaxSize: maxMessageBytes,
+	}
+	if err := o.UnmarshalFrom(r, e); err != nil {
+		return nil, errors.Wrap(err, "read message")
+	}
+	return e, nil
+}
+
+func sessionConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = keepAlive
+	c.ConnectionWriteTimeout = writeTimeout
+	c.LogOutput = io.Discard
+	return c
+}
--- /dev/null
+++ b/control/counted_conn.go
@@ -0,0 +1,31 @@
+package control
+
+import "net"
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	bytes *Bytes
+}
+
+func count(n net.Conn, b *Bytes) net.Conn {
+	if b == nil {
+		return n
+	}
+	return &countedConn{
+		Conn:  n,
+		bytes: b,
+	}
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Sent.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/demo/change.go
@@ -0,0 +1,73 @@
+package demo
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/intent"
+)
+
+func serviceMessage(s Service, o Options) *controlpb.Service {
+	return &controlpb.Service{
+		Name:      s.Name,
+		Address:   s.Address,
+		ColdShare: coldShare,
+		WarmupMs:  uint32(warmup.Milliseconds()),
+		FlowLimit: uint32(o.Connections),
+	}
+}
+
+// change makes one accepted change and measures when it is in force on every
+// instance of the region.
+func (r *Run) change(g *region, summary string, f func(*intent.Edit) error) (time.Time, error) {
+	s := intent.NewStore(r.client, g.deployment.Region)
+	h, err := r.write(s, summary, f)
+	if err != nil {
+		return time.Time{}, errors.Wrap(err, summary)
+	}
+	at := time.Now()
+	r.mu.Lock()
+	r.report.ChangesAccepted++
+	r.mu.Unlock()
+	if len(g.agents) > 0 && g.joined() > 0 {
+		r.wait.Add(1)
+		go func() {
+			defer r.wait.Done()
+			r.awaitInForce(g, h.Document.Revision, at)
+		}()
+	}
+	return at, nil
+}
+
+// write repeats a change that lost its race or met a platform that is down.
+func (r *Run) write(s *intent.Store, summary string, f func(*intent.Edit) error) (intent.Held, error) {
+	o := &controlpb.Operation{
+		Id:      fmt.Sprintf("%s/%d", summary, time.Now().UnixNano()),
+		Author:  "demo",
+		AtMs:    time.Now().UnixMilli(),
+		Summary: summary,
+	}
+	end := time.Now().Add(stepWait)
+	for {
+		b, err := s.Read(r.ctx)
+		if err == nil {
+			b, err = s.Change(r.ctx, b, o, f)
+		}
+		if err == nil || time.Now().After(end) {
+			return b, err //nolint:wrapcheck // The caller wraps it.
+		}
+		time.Sleep(samplePause)
+	}
+}
+
+func (r *Run) awaitInForce(g *region, revision uint64, at time.Time) {
+	end := time.Now().Add(settleWait)
+	for g.laggards(revision) > 0 && time.Now().Before(end) {
+		time.Sleep(pollPeriod)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.inForce.RecordValue(time.Since(at).Microseconds())
+}
--- /dev/null
+++ b/demo/load.go
@@ -0,0 +1,199 @@
+package demo
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/lentilshed/lentilshed/standin/caller"
+)
+
+const (
+	lifeMin  = 0.2
+	lifeMax  = 1.5
+	openTick = 20 * time.Millisecond
+	// rampShare is the part of a run in which the flows are opened.
+	rampShare = 0.12
+)
+
+// load keeps the number of live flows near the wanted one.
+func (r *Run) load() {
+	defer r.wait.Done()
+	x := rand.New(rand.NewPCG(r.options.Seed, 6))
+	t := time.NewTicker(openTick)
+	defer t.Stop()
+	perTick := float64(r.options.Flows) / (rampShare * r.options.Length.Seconds()) * openTick.Seconds()
+	credit := 0.0
+	for time.Since(r.started) < r.options.Length {
+		<-t.C
+		live := 0
+		for _, c := range r.callers {
+			live += c.Live()
+		}
+		r.mu.Lock()
+		r.report.LiveFlowsMax = max(r.report.LiveFlowsMax, live)
+		r.mu.Unlock()
+		credit = min(credit+perTick, float64(r.options.Flows-live))
+		for ; credit >= 1; credit-- {
+			r.openOne(x)
+		}
+	}
+}
+
+// openOne opens a flow of a service drawn by what its targets bear.
+func (r *Run) openOne(x *rand.Rand) {
+	n := x.IntN(len(r.regions))
+	g := r.regions[n]
+	s := g.deployment.Services[0]
+	if x.IntN(11) < 4 {
+		s = g.deployment.Services[1]
+	}
+	life := lifeMin + x.Float64()*(lifeMax-lifeMin)
+	r.mu.Lock()
+	r.report.FlowsOpened++
+	r.mu.Unlock()
+	r.callers[n].Open(s.Name, netip.MustParseAddrPort(s.Address), time.Duration(life*float64(r.options.Length)))
+}
+
+// sample reads what the backend servers hold.
+func (r *Run) sample() {
+	defer r.wait.Done()
+	t := time.NewTicker(samplePause)
+	defer t.Stop()
+	for time.Since(r.started) < r.options.Length {
+		<-t.C
+		if time.Since(r.started) < r.options.Length/6 {
+			continue
+		}
+		for _, g := range r.regions {
+			for _, s := range g.deployment.Services {
+				r.mu.Lock()
+				r.imbalance.add(g.loads(s))
+				r.mu.Unlock()
+			}
+		}
+	}
+}
+
+// loads lists the load by real capacity of a service's targets that take new
+// flows and are warm.
+func (g *region) loads(s Service) []float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var l []float64
+	for _, t := range s.Targets {
+		a := g.agents[t.Name]
+		if a == nil || a.State().Limit == 0 || a.State().Cold {
+			continue
+		}
+		b := g.backends[t.Name]
+		l = append(l, float64(b.Active())/float64(b.Capacity()))
+	}
+	return l
+}
+
+// finish ends the flows, stops everything and judges the run.
+func (r *Run) finish() {
+	r.cancel()
+	for _, c := range r.callers {
+		c.Close()
+	}
+	r.wait.Wait()
+	r.collect()
+	r.close()
+	r.report.judge()
+}
+
+// collect reads the counters of all instances and sorts the ends of flows.
+func (r *Run) collect() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := &r.report
+	p.Seconds = r.options.Length.Seconds()
+	p.Seed = r.options.Seed
+	p.Faults = r.options.Faults
+	for _, g := range r.regions {
+		r.collectRegion(g)
+	}
+	for _, e := range r.ends {
+		r.collectEnd(e)
+	}
+	c := r.store.Calls()
+	p.PlatformCallsPerSecond = float64(c.Reads+c.Writes+c.Watches) / time.Since(r.started).Seconds()
+	p.InForceP50MS = float64(r.inForce.ValueAtQuantile(50)) / 1000
+	p.InForceP99MS = float64(r.inForce.ValueAtQuantile(99)) / 1000
+	p.InForceMaxMS = float64(r.inForce.Max()) / 1000
+	p.ImbalanceMaxOverMean = r.imbalance.mean()
+	p.ImbalanceWorst = r.imbalance.worst
+}
+
+func (r *Run) collectRegion(g *region) {
+	p := &r.report
+	seconds := time.Since(r.started).Seconds()
+	for _, b := range g.backends {
+		p.ColdOverloads += b.ColdOverloads.Load()
+		p.Overloads += b.Overloads.Load()
+	}
+	for _, a := range g.agents {
+		s := a.State().Stats
+		p.RefusedWithRoom += s.RefusedWithRoom
+		p.InternalViolations += s.Violations
+		sent, received := a.ControlBytes()
+		p.ControlBytesPerSecondMax = max(p.ControlBytesPerSecondMax, float64(sent+received)/seconds)
+	}
+	for _, b := range g.balancers {
+		s := b.State().Stats
+		p.ChangesReverted += s.Reverted
+		p.InternalViolations += s.Violations
+		sent, received := b.ControlBytes()
+		p.ControlBytesPerSecondMax = max(p.ControlBytesPerSecondMax, float64(sent+received)/seconds)
+	}
+}
+
+// collectEnd counts how one flow ended.
+func (r *Run) collectEnd(e caller.End) {
+	p := &r.report
+	switch e.Outcome {
+	case caller.OutcomeRefused:
+		p.FlowsRefused++
+	case caller.OutcomeUnanswered:
+		p.FlowsUnanswered++
+	case caller.OutcomeWrong:
+		p.Misdelivered++
+	case caller.OutcomeReset, caller.OutcomeSilent:
+		r.collectBroken(e)
+	case caller.OutcomeDone:
+	}
+}
+
+func (r *Run) collectBroken(e caller.End) {
+	p := &r.report
+	if at, ok := r.crashes[e.Target]; ok && e.Opened.Before(at) && e.At.After(at) {
+		p.BrokenCrashed++
+		return
+	}
+	if r.wasOut(e) {
+		p.BrokenDomainOut++
+		return
+	}
+	p.BrokenPlanned++
+}
+
+// wasOut reports whether a flow ended with its target's failure domain.
+func (r *Run) wasOut(e caller.End) bool {
+	from := r.started.Add(time.Duration(0.44 * float64(r.options.Length)))
+	to := r.started.Add(time.Duration(0.60 * float64(r.options.Length))).Add(stepWait)
+	if e.At.Before(from) || e.At.After(to) {
+		return false
+	}
+	for _, g := range r.regions {
+		for _, s := range g.deployment.Services {
+			for _, t := range s.Targets {
+				if t.Name == e.Target && t.Domain == g.domainOut() {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/demo/region.go
@@ -0,0 +1,305 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/agent"
+	"github.com/lentilshed/lentilshed/balancer"
+	"github.com/lentilshed/lentilshed/lease"
+	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/standin/backend"
+	"github.com/lentilshed/lentilshed/standin/fabric"
+	"github.com/lentilshed/lentilshed/target"
+	"github.com/lentilshed/lentilshed/telemetry"
+	"github.com/uber-go/tally/v4"
+)
+
+// region is one running deployment.
+type region struct {
+	deployment Deployment
+	options    Options
+	platform   string
+	seed       uint64
+	fabric     *fabric.Fabric
+	line       *fabric.Line
+	mu         sync.Mutex
+	balancers  map[string]*balancer.Runtime
+	agents     map[string]*agent.Runtime
+	backends   map[string]*backend.Server
+	domains    map[netip.AddrPort]string
+	out        map[string]*outage
+	lives      uint64
+}
+
+// outage is when a failure domain was taken out and the last packet into it.
+type outage struct {
+	since time.Time
+	last  time.Time
+}
+
+func newRegion(d Deployment, o Options, platformURL string, seed uint64) (*region, error) {
+	f, err := fabric.New(fabric.Config{
+		Address:     "127.0.0.1:0",
+		ClientDelay: d.ClientDelay,
+		Seed:        seed,
+		KeepIdle:    4 * time.Second,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start fabric")
+	}
+	g := &region{
+		deployment: d,
+		options:    o,
+		platform:   platformURL,
+		seed:       seed,
+		fabric:     f,
+		line:       fabric.NewLine(seed + 1),
+		balancers:  map[string]*balancer.Runtime{},
+		agents:     map[string]*agent.Runtime{},
+		backends:   map[string]*backend.Server{},
+		domains:    map[netip.AddrPort]string{},
+		out:        map[string]*outage{},
+	}
+	return g, g.startAll()
+}
+
+func (g *region) startAll() error {
+	for _, x := range g.deployment.Domains {
+		if err := g.startBalancer("balancer-"+x, x); err != nil {
+			return err
+		}
+	}
+	for _, s := range g.deployment.Services {
+		for _, t := range s.Targets {
+			if err := g.startBackend(s.Name, t); err != nil {
+				return err
+			}
+			if err := g.startAgent(s.Name, t); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (g *region) startBalancer(name, domain string) error {
+	life := g.nextLife()
+	r, err := balancer.NewRuntime(balancer.RuntimeConfig{
+		Config: balancer.Config{
+			Name:        name,
+			Region:      g.deployment.Region,
+			Domain:      domain,
+			Incarnation: life,
+			Packets:     "127.0.0.1:0",
+			Control:     "127.0.0.1:0",
+			Seeds:       g.seeds(),
+			Lease: lease.Config{
+				Holder:  fmt.Sprintf("%s/%d", name, life),
+				TTL:     3 * time.Second,
+				Renew:   time.Second,
+				Silence: 2500 * time.Millisecond,
+			},
+		},
+		Platform: platform.New(platform.Config{
+			BaseURL: g.platform,
+			Seed:    g.seed + life,
+		}),
+		Log:   telemetry.NewLogger(g.logs(), "balancer "+name, "info"),
+		Scope: tally.NoopScope,
+		Send:  g.send(domain),
+	})
+	if err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	g.mu.Lock()
+	g.balancers[name] = r
+	g.mu.Unlock()
+	g.spray()
+	return nil
+}
+
+func (g *region) startBackend(service string, t Target) error {
+	b, err := backend.New(backend.Config{
+		Name:      t.Name,
+		Service:   service,
+		Capacity:  uint32(float64(g.options.Connections) * t.Speed),
+		ColdShare: coldShare,
+		Warmup:    warmup,
+		Latency:   time.Duration(float64(answerTime) / t.Speed),
+		ReportLag: reportLag,
+		Address:   "127.0.0.1:0",
+	})
+	if err != nil {
+		return errors.Wrapf(err, "start backend server %s", t.Name)
+	}
+	g.mu.Lock()
+	g.backends[t.Name] = b
+	g.mu.Unlock()
+	return nil
+}
+
+func (g *region) startAgent(service string, t Target) error {
+	b := g.backends[t.Name]
+	life := g.nextLife()
+	r, err := agent.NewRuntime(agent.RuntimeConfig{
+		Config: agent.Config{
+			Self:        target.ID(t.Name),
+			Incarnation: target.Incarnation(life),
+			Service:     service,
+			Domain:      t.Domain,
+			Gate: target.GateConfig{
+				Limit:     uint32(g.options.Connections),
+				ColdShare: coldShare,
+				Warmup:    warmup,
+			},
+			Seed: g.seed + life,
+		},
+		Region:    g.deployment.Region,
+		Packets:   "127.0.0.1:0",
+		Control:   "127.0.0.1:0",
+		Balancers: g.seeds(),
+		Fabric:    g.fabric.Address(),
+		Backend:   b.Address(),
+		LoadURL:   b.LoadURL(),
+		KeepIdle:  4 * time.Second,
+		Log:       telemetry.NewLogger(g.logs(), "agent "+t.Name, "info"),
+		Scope:     tally.NoopScope,
+		Send:      g.send(t.Domain),
+	})
+	if err != nil {
+		return errors.Wrapf(err, "start agent %s", t.Name)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.agents[t.Name] = r
+	g.domains[r.Packets()] = t.Domain
+	return nil
+}
+
+// send delays packets by the distance between failure domains and notes those
+// that enter a failure domain which is out.
+func (g *region) send(domain string) func(*net.UDPConn, []byte, netip.AddrPort) error {
+	return func(s *net.UDPConn, b []byte, to netip.AddrPort) error {
+		g.mu.Lock()
+		there := g.domains[to]
+		if o := g.out[there]; o != nil {
+			o.last = time.Now()
+		}
+		g.mu.Unlock()
+		if there == "" || there == domain {
+			_, err := s.WriteToUDPAddrPort(b, to)
+			return errors.Wrap(err, "send")
+		}
+		g.line.Send(b, g.deployment.DomainDelay, func(b []byte) {
+			_, _ = s.WriteToUDPAddrPort(b, to)
+		})
+		return nil
+	}
+}
+
+// seeds lists the control addresses of the running balancers.
+func (g *region) seeds() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var l []string
+	for _, r := range g.balancers {
+		l = append(l, r.Control())
+	}
+	return l
+}
+
+// spray tells the fabric which balancers there are.
+func (g *region) spray() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var l []netip.AddrPort
+	for _, r := range g.balancers {
+		l = append(l, r.Packets())
+	}
+	g.fabric.SetBalancers(l)
+}
+
+func (g *region) nextLife() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lives++
+	return uint64(time.Now().UnixMilli())<<8 + g.lives
+}
+
+func (g *region) logs() io.Writer {
+	if g.options.Log == nil {
+		return io.Discard
+	}
+	return g.options.Log
+}
+
+// killBalancer stops a balancer as a crash would; the fabric notices at once.
+func (g *region) killBalancer(name string) {
+	g.mu.Lock()
+	r := g.balancers[name]
+	delete(g.balancers, name)
+	g.mu.Unlock()
+	g.spray()
+	r.Close()
+}
+
+// killAgent crashes an agent and its backend server.
+func (g *region) killAgent(name string) {
+	g.mu.Lock()
+	r := g.agents[name]
+	delete(g.agents, name)
+	g.mu.Unlock()
+	g.backends[name].Crash()
+	r.Kill()
+}
+
+func (g *region) close() {
+	for _, r := range g.agents {
+		r.Kill()
+	}
+	for _, r := range g.balancers {
+		r.Close()
+	}
+	for _, b := range g.backends {
+		b.Close()
+	}
+	g.fabric.Close()
+	g.line.Close()
+}
+
+// laggards counts the instances that have not reached a revision.
+func (g *region) laggards(revision uint64) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, r := range g.balancers {
+		if r.State().Revision < revision {
+			n++
+		}
+	}
+	for _, r := range g.agents {
+		if r.State().Revision < revision {
+			n++
+		}
+	}
+	return n
+}
+
+// joined counts the agents that take part in their service.
+func (g *region) joined() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, r := range g.agents {
+		if r.State().Joined {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,96 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Report is what a run found. Field names are the keys of its JSON form.
+type Report struct {
+	Seconds                  float64  `json:"seconds"`
+	Seed                     uint64   `json:"seed"`
+	Faults                   bool     `json:"faults"`
+	FlowsOpened              int      `json:"flows_opened"`
+	LiveFlowsMax             int      `json:"live_flows_max"`
+	FlowsRefused             int      `json:"flows_refused"`
+	FlowsUnanswered          int      `json:"flows_unanswered"`
+	BrokenPlanned            int      `json:"broken_flows_planned"`
+	BrokenDomainOut          int      `json:"broken_flows_domain_out"`
+	BrokenCrashed            int      `json:"broken_flows_crashed"`
+	Misdelivered             int      `json:"misdelivered_packets"`
+	ColdOverloads            uint64   `json:"cold_overloads"`
+	Overloads                uint64   `json:"overloads"`
+	SilentCold               uint64   `json:"overloads_before_silent_cold_was_seen"`
+	RefusedWithRoom          uint64   `json:"new_flows_refused_with_room"`
+	PacketsIntoDomainOutMS   int64    `json:"packets_into_domain_out_last_ms"`
+	PacketsIntoDomainOutLate int      `json:"packets_into_domain_out_late"`
+	ChangesAccepted          int      `json:"changes_accepted"`
+	ChangesReverted          uint64   `json:"changes_reverted"`
+	InForceP50MS             float64  `json:"in_force_p50_ms"`
+	InForceP99MS             float64  `json:"in_force_p99_ms"`
+	InForceMaxMS             float64  `json:"in_force_max_ms"`
+	ImbalanceMaxOverMean     float64  `json:"imbalance_max_over_mean"`
+	ImbalanceWorst           float64  `json:"imbalance_worst_window"`
+	LeavingTookNewMS         int64    `json:"new_flows_at_leaving_target_last_ms"`
+	ControlBytesPerSecondMax float64  `json:"control_bytes_per_second_max_node"`
+	PlatformCallsPerSecond   float64  `json:"platform_calls_per_second"`
+	InternalViolations       uint64   `json:"internal_violations"`
+	Violations               []string `json:"violations"`
+}
+
+const (
+	// domainOutLimit is how long packets may still enter a failure domain.
+	domainOutLimit = 6000
+	// leavingLimit is how long a leaving target may still get new flows.
+	leavingLimit = 6000
+	// inForceLimit bounds the time from acceptance to in force.
+	inForceLimit = 6000
+)
+
+// judge lists the promises that the run broke.
+func (r *Report) judge() {
+	r.Violations = []string{}
+	r.require(r.BrokenPlanned == 0, "an established flow survives every planned change: %d broke", r.BrokenPlanned)
+	r.require(r.Misdelivered == 0, "a packet for one service never reaches another: %d did", r.Misdelivered)
+	r.require(r.ColdOverloads == 0, "a cold backend server never gets more than it bears: %d times", r.ColdOverloads)
+	r.require(r.PacketsIntoDomainOutMS <= domainOutLimit, "a failure domain taken out gets no packets after 6 s: %d ms", r.PacketsIntoDomainOutMS)
+	r.require(r.LeavingTookNewMS <= leavingLimit, "a leaving target gets no new flows after 6 s: %d ms", r.LeavingTookNewMS)
+	r.require(r.ChangesReverted == 0, "an accepted change never reverts: %d did", r.ChangesReverted)
+	r.require(r.InForceMaxMS <= inForceLimit, "an accepted change is in force within 6 s: %.0f ms", r.InForceMaxMS)
+	r.require(r.InternalViolations == 0, "invariants inside the program: %d broken", r.InternalViolations)
+}
+
+func (r *Report) require(ok bool, format string, value any) {
+	if !ok {
+		r.Violations = append(r.Violations, fmt.Sprintf(format, value))
+	}
+}
+
+// Write prints the report for people.
+func (r *Report) Write(w io.Writer) {
+	p := func(name, format string, values ...any) {
+		_, _ = fmt.Fprintf(w, "  %-44s %s\n", name, fmt.Sprintf(format, values...))
+	}
+	_, _ = fmt.Fprintf(w, "\nrun of %.0f s, seed %d, faults %t\n", r.Seconds, r.Seed, r.Faults)
+	p("flows opened / most at a time", "%d / %d", r.FlowsOpened, r.LiveFlowsMax)
+	p("flows refused / not answered", "%d / %d", r.FlowsRefused, r.FlowsUnanswered)
+	p("flows broken by planned changes", "%d", r.BrokenPlanned)
+	p("flows given up with a failure domain", "%d", r.BrokenDomainOut)
+	p("flows lost with a crashed target", "%d", r.BrokenCrashed)
+	p("packets that reached a wrong service", "%d", r.Misdelivered)
+	p("cold overloads / all overloads", "%d / %d", r.ColdOverloads, r.Overloads)
+	p("refused although a peer had room", "%d", r.RefusedWithRoom)
+	p("last packet into a domain taken out", "%d ms after acceptance", r.PacketsIntoDomainOutMS)
+	p("last new flow at a leaving target", "%d ms after acceptance", r.LeavingTookNewMS)
+	p("changes accepted / reverted", "%d / %d", r.ChangesAccepted, r.ChangesReverted)
+	p("acceptance to in force, p50 / p99 / max", "%.0f / %.0f / %.0f ms", r.InForceP50MS, r.InForceP99MS, r.InForceMaxMS)
+	p("imbalance, max over mean / worst 10 s", "%.3f / %.3f", r.ImbalanceMaxOverMean, r.ImbalanceWorst)
+	p("control bytes a second, busiest node", "%.0f", r.ControlBytesPerSecondMax)
+	p("platform calls a second", "%.1f", r.PlatformCallsPerSecond)
+	if len(r.Violations) == 0 {
+		_, _ = fmt.Fprintln(w, "all that must always hold has held")
+		return
+	}
+	_, _ = fmt.Fprintln(w, "VIOLATED:\n  "+strings.Join(r.Violations, "\n  "))
+}
--- /dev/null
+++ b/demo/run.go
@@ -0,0 +1,167 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/standin/caller"
+	"github.com/lentilshed/lentilshed/standin/objectstore"
+)
+
+// ErrViolated is returned when something that must always hold did not.
+var ErrViolated = errors.New("something that must always hold did not")
+
+// ErrNotReady is returned when the system did not come up.
+var ErrNotReady = errors.New("the system did not come up in time")
+
+// Run is one run of the demonstration.
+type Run struct {
+	options Options
+	store   *objectstore.Server
+	web     *http.Server
+	url     string
+	regions []*region
+	callers []*caller.Callers
+	client  *platform.Client
+	rand    *rand.Rand
+	started time.Time
+	ctx     context.Context //nolint:containedctx // It ends with the run.
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+
+	mu        sync.Mutex
+	report    Report
+	ends      []caller.End
+	crashes   map[string]time.Time
+	inForce   *hdrhistogram.Histogram
+	imbalance imbalanceMeter
+}
+
+// Start plays a whole run and returns its report. The error is ErrViolated
+// when a promise was broken.
+func Start(o Options) (*Report, error) {
+	r := &Run{
+		options: o,
+		store:   objectstore.New(o.Seed),
+		rand:    rand.New(rand.NewPCG(o.Seed, 5)),
+		crashes: map[string]time.Time{},
+		inForce: hdrhistogram.New(1, 60_000_000, 3),
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	defer r.cancel()
+	if err := r.start(); err != nil {
+		r.close()
+		return nil, err
+	}
+	err := r.play()
+	r.finish()
+	if err != nil {
+		return nil, err
+	}
+	if len(r.report.Violations) > 0 {
+		return &r.report, ErrViolated
+	}
+	return &r.report, nil
+}
+
+func (r *Run) start() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen for the platform")
+	}
+	r.web = &http.Server{
+		Handler:           r.store,
+		ReadHeaderTimeout: time.Second,
+	}
+	go func() { _ = r.web.Serve(l) }()
+	r.url = "http://" + l.Addr().String()
+	r.client = platform.New(platform.Config{
+		BaseURL: r.url,
+		Seed:    r.options.Seed,
+	})
+	for i, d := range Today() {
+		if err := r.startRegion(d, r.options.Seed*1000+uint64(i)*100); err != nil {
+			return err
+		}
+	}
+	return r.awaitReady()
+}
+
+func (r *Run) startRegion(d Deployment, seed uint64) error {
+	g, err := newRegion(d, r.options, r.url, seed)
+	if g != nil {
+		r.regions = append(r.regions, g)
+	}
+	if err != nil {
+		return err
+	}
+	r.callers = append(r.callers, caller.New(caller.Config{
+		Dial:   g.fabric.Dial,
+		Pause:  linePause,
+		Report: r.ended,
+		First:  netip.MustParseAddr("100.64.0.1"),
+	}))
+	return r.declare(g)
+}
+
+// declare writes the services of a region to the platform.
+func (r *Run) declare(g *region) error {
+	_, err := r.change(g, "declare services", func(e *intent.Edit) error {
+		for _, s := range g.deployment.Services {
+			e.PutService(serviceMessage(s, r.options))
+		}
+		return nil
+	})
+	return err
+}
+
+func (r *Run) awaitReady() error {
+	end := time.Now().Add(settleWait)
+	for time.Now().Before(end) {
+		ready := true
+		for _, g := range r.regions {
+			ready = ready && g.joined() == len(g.agents)
+		}
+		if ready {
+			return nil
+		}
+		time.Sleep(pollPeriod)
+	}
+	return ErrNotReady
+}
+
+func (r *Run) ended(e caller.End) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ends = append(r.ends, e)
+}
+
+func (r *Run) say(format string, values ...any) {
+	if r.options.Progress == nil {
+		return
+	}
+	at := time.Since(r.started).Seconds()
+	_, _ = fmt.Fprintf(r.options.Progress, "%6.1f s  %s\n", at, fmt.Sprintf(format, values...))
+}
+
+func (r *Run) close() {
+	for _, c := range r.callers {
+		c.Close()
+	}
+	for _, g := range r.regions {
+		g.close()
+	}
+	if r.web != nil {
+		_ = r.web.Close()
+	}
+}
--- /dev/null
+++ b/demo/shift.go
@@ -0,0 +1,224 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/standin/fabric"
+	"github.com/lentilshed/lentilshed/standin/objectstore"
+)
+
+// step is one event of a shift change, at a share of the run's length.
+type step struct {
+	at   float64
+	name string
+	do   func(r *Run) error
+}
+
+// shift is the shift change that every run plays.
+func shift() []step {
+	return []step{
+		{0.20, "drain one target of each region", (*Run).drainTargets},
+		{0.30, "end the drain", (*Run).undrainTargets},
+		{0.36, "replace one balancer of each region", (*Run).replaceBalancers},
+		{0.44, "take one failure domain of each region out", (*Run).takeOut},
+		{0.60, "bring the failure domains back", (*Run).bringBack},
+		{0.72, "restart one agent of each region gracefully", (*Run).leaveAndJoin},
+		{0.80, "crash one target of each region", (*Run).crashTargets},
+		{0.86, "bring the crashed targets back", (*Run).restartTargets},
+	}
+}
+
+// play opens flows, runs the steps and ends when the time is up.
+func (r *Run) play() error {
+	r.started = time.Now()
+	r.say("%d regions are up", len(r.regions))
+	r.setFaults(r.options.Faults)
+	r.wait.Add(2)
+	go r.load()
+	go r.sample()
+	for _, s := range shift() {
+		at := time.Duration(s.at * float64(r.options.Length))
+		time.Sleep(time.Until(r.started.Add(at)))
+		r.say("%s", s.name)
+		if err := s.do(r); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Until(r.started.Add(r.options.Length)))
+	return nil
+}
+
+// setFaults turns the faults of the network and the platform on or off.
+func (r *Run) setFaults(on bool) {
+	f := fabric.Faults{}
+	o := objectstore.Faults{}
+	if on {
+		f = fabric.Faults{
+			Loss:      0.01,
+			Duplicate: 0.01,
+			Reorder:   0.02,
+		}
+		o = objectstore.Faults{
+			Delay:         100 * time.Millisecond,
+			LostAnswers:   0.2,
+			BrokenWatches: 0.2,
+			Throttled:     0.05,
+		}
+	}
+	for _, g := range r.regions {
+		g.fabric.SetFaults(f)
+		g.line.SetFaults(f)
+	}
+	r.store.SetFaults(o)
+}
+
+func (r *Run) eachRegion(f func(g *region) error) error {
+	for _, g := range r.regions {
+		if err := f(g); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drained is the target that a run drains.
+func (g *region) drained() Target { return g.deployment.Services[0].Targets[1] }
+
+// restarted is the target that a run restarts gracefully.
+func (g *region) restarted() Target { return g.deployment.Services[0].Targets[2] }
+
+// crashed is the target that a run crashes.
+func (g *region) crashed() Target { return g.deployment.Services[0].Targets[3] }
+
+// domainOut is the failure domain that a run takes out.
+func (g *region) domainOut() string { return g.deployment.Domains[0] }
+
+func (r *Run) drainTargets() error {
+	return r.eachRegion(func(g *region) error {
+		t := g.drained().Name
+		at, err := r.change(g, "drain "+t, func(e *intent.Edit) error {
+			e.SetDraining(t, true, time.Time{})
+			return nil
+		})
+		if err == nil {
+			r.watchDrain(g, t, at)
+		}
+		return err
+	})
+}
+
+// watchDrain notes the last new flow at a leaving target.
+func (r *Run) watchDrain(g *region, target string, at time.Time) {
+	r.wait.Add(1)
+	go func() {
+		defer r.wait.Done()
+		b := g.backends[target]
+		seen := b.Opened.Load()
+		last := int64(0)
+		end := at.Add(time.Duration(0.09 * float64(r.options.Length)))
+		for time.Now().Before(end) {
+			if n := b.Opened.Load(); n != seen {
+				seen = n
+				last = time.Since(at).Milliseconds()
+			}
+			time.Sleep(pollPeriod)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.report.LeavingTookNewMS = max(r.report.LeavingTookNewMS, last)
+	}()
+}
+
+func (r *Run) undrainTargets() error {
+	return r.eachRegion(func(g *region) error {
+		t := g.drained().Name
+		_, err := r.change(g, "undrain "+t, func(e *intent.Edit) error {
+			e.SetDraining(t, false, time.Time{})
+			return nil
+		})
+		return err
+	})
+}
+
+func (r *Run) replaceBalancers() error {
+	return r.eachRegion(func(g *region) error {
+		d := g.deployment.Domains[r.rand.IntN(len(g.deployment.Domains))]
+		g.killBalancer("balancer-" + d)
+		return g.startBalancer("balancer-"+d+"-new", d)
+	})
+}
+
+func (r *Run) takeOut() error {
+	return r.eachRegion(func(g *region) error {
+		d := g.domainOut()
+		at, err := r.change(g, "take out domain "+d, func(e *intent.Edit) error {
+			e.SetDomain(d, true, time.Now())
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.out[d] = &outage{
+			since: at,
+			last:  at,
+		}
+		return nil
+	})
+}
+
+func (r *Run) bringBack() error {
+	return r.eachRegion(func(g *region) error {
+		d := g.domainOut()
+		g.mu.Lock()
+		o := g.out[d]
+		delete(g.out, d)
+		g.mu.Unlock()
+		r.mu.Lock()
+		ms := o.last.Sub(o.since).Milliseconds()
+		r.report.PacketsIntoDomainOutMS = max(r.report.PacketsIntoDomainOutMS, ms)
+		r.mu.Unlock()
+		_, err := r.change(g, "bring back domain "+d, func(e *intent.Edit) error {
+			e.SetDomain(d, false, time.Now())
+			return nil
+		})
+		return err
+	})
+}
+
+// leaveAndJoin waits for the flows of an agent to end within its stop timeout.
+// The callers of this demo keep theirs, so those are let live: the agent is
+// told to leave, and takes part again before its flows are cut.
+func (r *Run) leaveAndJoin() error {
+	return r.eachRegion(func(g *region) error {
+		t := g.restarted()
+		g.mu.Lock()
+		a := g.agents[t.Name]
+		g.mu.Unlock()
+		ctx, cancel := context.WithTimeout(r.ctx, time.Second)
+		defer cancel()
+		n := a.Leave(ctx)
+		r.say("%s left the service with %d flows that live on", t.Name, n)
+		return nil
+	})
+}
+
+func (r *Run) crashTargets() error {
+	return r.eachRegion(func(g *region) error {
+		t := g.crashed().Name
+		r.mu.Lock()
+		r.crashes[t] = time.Now()
+		r.mu.Unlock()
+		g.killAgent(t)
+		return nil
+	})
+}
+
+func (r *Run) restartTargets() error {
+	return r.eachRegion(func(g *region) error {
+		return g.startAgent(g.deployment.Services[0].Name, g.crashed())
+	})
+}
--- /dev/null
+++ b/service/build.go
@@ -0,0 +1,71 @@
+package service
+
+import (
+	"net/netip"
+
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/roster"
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// Build returns the routing table of a declared service, or nil when the
+// service is unknown, deleted or has an unreadable address.
+func Build(name string, d *intent.Document, r *roster.Roster) *Table {
+	s := d.Services[name]
+	if s == nil || s.GetDeleted() {
+		return nil
+	}
+	a, err := netip.ParseAddrPort(s.GetAddress())
+	if err != nil {
+		return nil
+	}
+	v := Vector{
+		Intent: s.GetRevision(),
+		Roster: uint64(r.Floor()),
+	}
+	var targets []Target
+	for _, m := range r.Service(name) {
+		v.Roster = max(v.Roster, m.GetVersion())
+		v.Intent = max(v.Intent, d.Domains[m.GetDomain()].GetRevision(), d.Targets[m.GetTarget()].GetRevision())
+		if m.GetState() == controlpb.MemberState_MEMBER_STATE_GONE {
+			continue
+		}
+		if t, ok := buildTarget(s, m, d); ok {
+			targets = append(targets, t)
+		}
+	}
+	return NewTable(name, s.GetId(), a, v, targets)
+}
+
+func buildTarget(s *controlpb.Service, m *controlpb.Member, d *intent.Document) (Target, bool) {
+	a, err := netip.ParseAddrPort(m.GetPacketAddress())
+	if err != nil {
+		return Target{}, false
+	}
+	drained := d.Targets[m.GetTarget()].GetDraining()
+	joined := m.GetState() == controlpb.MemberState_MEMBER_STATE_JOINED
+	return Target{
+		ID:          target.ID(m.GetTarget()),
+		Incarnation: target.Incarnation(m.GetIncarnation()),
+		Domain:      m.GetDomain(),
+		Packets:     a,
+		Control:     m.GetControlAddress(),
+		Weight:      m.GetWeight(),
+		Homes:       joined && !drained && spans(s, m.GetDomain()),
+		Out:         d.Out(m.GetDomain()),
+	}, true
+}
+
+// spans reports whether a service may use a failure domain.
+func spans(s *controlpb.Service, domain string) bool {
+	if len(s.GetDomains()) == 0 {
+		return true
+	}
+	for _, x := range s.GetDomains() {
+		if x == domain {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/service/target.go
@@ -0,0 +1,22 @@
+package service
+
+import (
+	"net/netip"
+
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// Target is one target as a routing table sees it.
+type Target struct {
+	ID          target.ID
+	Incarnation target.Incarnation
+	Domain      string
+	Packets     netip.AddrPort
+	Control     string
+	Weight      uint32
+	// Homes is false for a target that gets no bucket: leaving or drained.
+	Homes bool
+	// Out is true in a failure domain that the operators took out. No packet
+	// may be sent to it.
+	Out bool
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,238 @@
+// Package settings reads the TOML settings of a process and checks them before
+// anything starts.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/cockroachdb/errors"
+)
+
+// ErrInvalid is returned for settings that cannot be used. The message is one
+// line with the file, the key and the reason.
+var ErrInvalid = errors.New("invalid settings")
+
+// File is the settings of one process: a balancer or an agent.
+type File struct {
+	Balancer *Balancer `toml:"balancer"`
+	Agent    *Agent    `toml:"agent"`
+	Log      Log       `toml:"log"`
+	Trace    Trace     `toml:"trace"`
+}
+
+// Log says how much is logged.
+type Log struct {
+	// Level is "debug", "info", "warn" or "error".
+	Level string `toml:"level"`
+}
+
+// Trace says which flows leave spans.
+type Trace struct {
+	// OneIn samples one flow in so many; zero turns traces off.
+	OneIn uint64 `toml:"one_in"`
+	// File takes the spans as JSON lines; "-" is standard error.
+	File string `toml:"file"`
+}
+
+// Instance is what every process needs to know about itself.
+type Instance struct {
+	Name   string `toml:"name"`
+	Region string `toml:"region"`
+	// Domain is the failure domain that the instance runs in.
+	Domain  string `toml:"failure_domain"`
+	Packets string `toml:"packet_address"`
+	Control string `toml:"control_address"`
+	// Admin is where metrics and health are served.
+	Admin string `toml:"admin_address"`
+	// Balancers are control addresses to start from.
+	Balancers []string `toml:"balancers"`
+}
+
+// Balancer is the settings of a balancer.
+type Balancer struct {
+	Instance
+	// Platform is the base URL of the object API.
+	Platform string `toml:"platform"`
+}
+
+// Agent is the settings of an agent.
+type Agent struct {
+	Instance
+	Service string `toml:"service"`
+	// Fabric is where packets to callers are sent.
+	Fabric string `toml:"fabric_address"`
+	// Backend is the backend server's TCP address.
+	Backend string `toml:"backend_server"`
+	// Load is the URL of the backend server's load report; empty for none.
+	Load string `toml:"load_url"`
+	// Limit is the number of open flows the backend server may ever hold.
+	Limit int `toml:"flow_limit"`
+	// StopTimeout bounds how long a graceful shutdown waits for flows.
+	StopTimeout Duration `toml:"stop_timeout"`
+}
+
+// Duration is a time span written as "30s".
+type Duration time.Duration
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(b []byte) error {
+	x, err := time.ParseDuration(string(b))
+	if err != nil {
+		return errors.Newf("not a duration: %q", b)
+	}
+	*d = Duration(x)
+	return nil
+}
+
+const (
+	maxLimit       = 1_000_000
+	maxStopTimeout = Duration(24 * time.Hour)
+)
+
+// Read reads and checks a file.
+func Read(path string) (*File, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, invalid(path, "file", "cannot be read: "+errors.UnwrapAll(err).Error())
+	}
+	return Parse(path, string(b))
+}
+
+// Parse checks settings from memory; name stands for the file in errors.
+func Parse(name, text string) (*File, error) {
+	f := &File{}
+	m, err := toml.Decode(text, f)
+	if err != nil {
+		return nil, syntaxError(name, err)
+	}
+	if u := m.Undecoded(); len(u) > 0 {
+		return nil, invalid(name, u[0].String(), "unknown key")
+	}
+	c := checker{
+		file: name,
+	}
+	c.checkFile(f)
+	return f, c.err
+}
+
+func syntaxError(name string, err error) error {
+	var p toml.ParseError
+	if errors.As(err, &p) {
+		return invalid(name, p.LastKey, fmt.Sprintf("line %d: %s", p.Position.Line, oneLine(p.Message)))
+	}
+	return invalid(name, "file", oneLine(err.Error()))
+}
+
+func oneLine(s string) string {
+	return strings.Join(strings.Fields(s), " ")
+}
+
+func invalid(file, key, reason string) error {
+	return errors.Mark(errors.Newf("%s: %s: %s", file, key, reason), ErrInvalid)
+}
+
+// checker keeps the first problem of a file.
+type checker struct {
+	file string
+	err  error
+}
+
+func (c *checker) checkFile(f *File) {
+	switch {
+	case f.Balancer == nil && f.Agent == nil:
+		c.fail("file", "needs a [balancer] or an [agent] section")
+	case f.Balancer != nil && f.Agent != nil:
+		c.fail("agent", "one process is either a balancer or an agent")
+	case f.Balancer != nil:
+		c.checkBalancer(f.Balancer)
+	default:
+		c.checkAgent(f.Agent)
+	}
+	switch f.Log.Level {
+	case "", "debug", "info", "warn", "error":
+	default:
+		c.fail("log.level", "must be debug, info, warn or error")
+	}
+}
+
+func (c *checker) checkBalancer(b *Balancer) {
+	c.checkInstance("balancer", &b.Instance)
+	c.url("balancer.platform", b.Platform, true)
+}
+
+func (c *checker) checkAgent(a *Agent) {
+	c.checkInstance("agent", &a.Instance)
+	c.text("agent.service", a.Service)
+	c.address("agent.fabric_address", a.Fabric)
+	c.address("agent.backend_server", a.Backend)
+	c.url("agent.load_url", a.Load, false)
+	if len(a.Balancers) == 0 {
+		c.fail("agent.balancers", "needs at least one address")
+	}
+	if a.Limit < 1 || a.Limit > maxLimit {
+		c.fail("agent.flow_limit", fmt.Sprintf("must be between 1 and %d", maxLimit))
+	}
+	if a.StopTimeout < 0 || a.StopTimeout > maxStopTimeout {
+		c.fail("agent.stop_timeout", "must be between 0s and 24h")
+	}
+}
+
+func (c *checker) checkInstance(section string, i *Instance) {
+	c.text(section+".name", i.Name)
+	c.text(section+".region", i.Region)
+	c.text(section+".failure_domain", i.Domain)
+	c.address(section+".packet_address", i.Packets)
+	c.address(section+".control_address", i.Control)
+	if i.Admin != "" {
+		c.address(section+".admin_address", i.Admin)
+	}
+	for n, b := range i.Balancers {
+		c.address(fmt.Sprintf("%s.balancers[%d]", section, n), b)
+	}
+}
+
+func (c *checker) text(key, s string) {
+	switch {
+	case s == "":
+		c.fail(key, "is missing")
+	case strings.ContainsAny(s, " \t\n\"'"):
+		c.fail(key, "must not contain spaces or quotes")
+	}
+}
+
+// address accepts an IPv4 address and port.
+func (c *checker) address(key, s string) {
+	if s == "" {
+		c.fail(key, "is missing")
+		return
+	}
+	a, err := netip.ParseAddrPort(s)
+	if err != nil || !a.Addr().Is4() || a.Port() == 0 {
+		c.fail(key, fmt.Sprintf("%q is not an IPv4 address and port", s))
+	}
+}
+
+func (c *checker) url(key, s string, needed bool) {
+	if s == "" {
+		if needed {
+			c.fail(key, "is missing")
+		}
+		return
+	}
+	u, err := url.Parse(s)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.fail(key, fmt.Sprintf("%q is not an HTTP address", s))
+	}
+}
+
+func (c *checker) fail(key, reason string) {
+	if c.err == nil {
+		c.err = invalid(c.file, key, reason)
+	}
+}
--- /dev/null
+++ b/standin/backend/server.go
@@ -0,0 +1,285 @@
+// Package backend is a stand-in for a backend server: it answers lines over
+// TCP, bears little while cold, and reports a load that lags or misleads.
+package backend
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Config says what a backend server is and bears.
+type Config struct {
+	Name    string
+	Service string
+	// Capacity is the number of flows it bears when warm.
+	Capacity uint32
+	// ColdShare is the part of its capacity that it bears when just started.
+	ColdShare float64
+	// Warmup is the time it takes to become warm.
+	Warmup time.Duration
+	// Latency is the time of one answer when warm.
+	Latency time.Duration
+	// ReportLag is the age of its load reports.
+	ReportLag time.Duration
+	// Address is where flows are taken, "127.0.0.1:0" for any port.
+	Address string
+}
+
+// ReportMode says how the load report misleads.
+type ReportMode int32
+
+const (
+	// ReportTrue reports the load as it was ReportLag ago.
+	ReportTrue ReportMode = iota
+	// ReportZero always reports no load.
+	ReportZero
+	// ReportFrozen repeats the last report.
+	ReportFrozen
+)
+
+const coldSlowdown = 8
+
+// Server is one running backend server.
+type Server struct {
+	config    Config
+	listener  net.Listener
+	admin     net.Listener
+	http      *http.Server
+	wait      sync.WaitGroup
+	stop      chan struct{}
+	active    atomic.Int64
+	coldSince atomic.Int64
+	mode      atomic.Int32
+	mu        sync.Mutex
+	conns     map[net.Conn]bool
+	samples   []sample
+	frozen    float64
+	// Overloads counts flows taken beyond what the server bore at that moment.
+	Overloads atomic.Uint64
+	// ColdOverloads counts those taken while it was cold.
+	ColdOverloads atomic.Uint64
+	// Opened counts all flows taken.
+	Opened atomic.Uint64
+}
+
+type sample struct {
+	at   time.Time
+	load float64
+}
+
+// New starts a cold backend server.
+func New(c Config) (*Server, error) {
+	l, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for flows")
+	}
+	a, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		_ = l.Close()
+		return nil, errors.Wrap(err, "listen for reports")
+	}
+	s := &Server{
+		config:   c,
+		listener: l,
+		admin:    a,
+		stop:     make(chan struct{}),
+		conns:    map[net.Conn]bool{},
+	}
+	s.TurnCold()
+	mux := http.NewServeMux()
+	mux.HandleFunc("/load", s.report)
+	mux.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintln(w, "fine")
+	})
+	s.http = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: time.Second,
+	}
+	s.wait.Add(2)
+	go s.accept()
+	go s.sampleLoad()
+	go func() { _ = s.http.Serve(a) }()
+	return s, nil
+}
+
+// Address returns where flows are taken.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// LoadURL returns the load report's address.
+func (s *Server) LoadURL() string {
+	return "http://" + s.admin.Addr().String() + "/load"
+}
+
+// Active returns the number of open flows.
+func (s *Server) Active() int {
+	return int(s.active.Load())
+}
+
+// Capacity returns what the server bears when warm.
+func (s *Server) Capacity() int {
+	return int(s.config.Capacity)
+}
+
+// TurnCold makes the server cold again without any sign of it.
+func (s *Server) TurnCold() {
+	s.coldSince.Store(time.Now().UnixNano())
+}
+
+// SetReport changes how the load report misleads.
+func (s *Server) SetReport(m ReportMode) {
+	s.mode.Store(int32(m))
+}
+
+// Crash cuts all flows and starts cold, as a restart under the same address.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	s.TurnCold()
+}
+
+// Close stops the server.
+func (s *Server) Close() {
+	close(s.stop)
+	_ = s.listener.Close()
+	_ = s.http.Close()
+	s.Crash()
+	s.wait.Wait()
+}
+
+// Bears returns the number of flows that the server bears now.
+func (s *Server) Bears() int {
+	return int(max(1, float64(s.config.Capacity)*s.warmth()))
+}
+
+func (s *Server) warmth() float64 {
+	if s.config.Warmup <= 0 {
+		return 1
+	}
+	x := float64(time.Now().UnixNano()-s.coldSince.Load()) / float64(s.config.Warmup)
+	return s.config.ColdShare + (1-s.config.ColdShare)*min(max(x, 0), 1)
+}
+
+func (s *Server) cold() bool {
+	return s.warmth() < 1
+}
+
+func (s *Server) accept() {
+	defer s.wait.Done()
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.take(c)
+		s.wait.Add(1)
+		go s.serve(c)
+	}
+}
+
+// take counts a flow, and whether the server could bear it.
+func (s *Server) take(c net.Conn) {
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	s.Opened.Add(1)
+	if int(s.active.Add(1)) <= s.Bears() {
+		return
+	}
+	s.Overloads.Add(1)
+	if s.cold() {
+		s.ColdOverloads.Add(1)
+	}
+}
+
+// serve answers each line with the server's names and the line.
+func (s *Server) serve(c net.Conn) {
+	defer s.wait.Done()
+	defer func() {
+		_ = c.Close()
+		s.active.Add(-1)
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	r := bufio.NewReaderSize(c, 512)
+	for {
+		l, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		s.work()
+		if _, err := fmt.Fprintf(c, "%s/%s %s", s.config.Service, s.config.Name, l); err != nil {
+			return
+		}
+	}
+}
+
+// work takes longer while the server is cold.
+func (s *Server) work() {
+	d := s.config.Latency
+	if s.cold() {
+		d *= coldSlowdown
+	}
+	time.Sleep(d)
+}
+
+func (s *Server) sampleLoad() {
+	defer s.wait.Done()
+	t := time.NewTicker(50 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-t.C:
+		}
+		x := sample{
+			at:   time.Now(),
+			load: float64(s.active.Load()) / float64(s.Bears()),
+		}
+		s.mu.Lock()
+		s.samples = append(s.samples, x)
+		for len(s.samples) > 1 && time.Since(s.samples[1].at) >= s.config.ReportLag {
+			s.samples = s.samples[1:]
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	x := 0.0
+	if len(s.samples) > 0 {
+		x = s.samples[0].load
+	}
+	switch ReportMode(s.mode.Load()) {
+	case ReportZero:
+		x = 0
+	case ReportFrozen:
+		x = s.frozen
+	case ReportTrue:
+		s.frozen = x
+	}
+	s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(struct {
+		Load float64 `json:"load"`
+	}{
+		Load: x,
+	})
+}
--- /dev/null
+++ b/telemetry/admin.go
@@ -0,0 +1,50 @@
+package telemetry
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const adminHeaderWait = 2 * time.Second
+
+// Admin serves /metrics and /healthz of one process.
+type Admin struct {
+	server *http.Server
+	listen net.Listener
+}
+
+// NewAdmin starts to serve at an address. Health returns nil or why the
+// instance should get no traffic.
+func NewAdmin(address string, metrics http.Handler, health func() error) (*Admin, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for admin")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metrics)
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := health(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = fmt.Fprintln(w, "ok")
+	})
+	a := &Admin{
+		server: &http.Server{
+			Handler:           mux,
+			ReadHeaderTimeout: adminHeaderWait,
+		},
+		listen: l,
+	}
+	go func() { _ = a.server.Serve(l) }()
+	return a, nil
+}
+
+// Close stops serving.
+func (a *Admin) Close() {
+	_ = a.server.Close()
+}
