Ask every peer after each new table before a flow is called unknown

Traces put every break within tens of ms of a changed weight. A home that skipped a table in which a bucket had gone to another home and back saw no gain, asked nobody, and reset flows admitted there meanwhile. A list made under a newer table than the receiver's leaves out buckets that the receiver is about to lose; it was taken as complete. Ruled out: spurious lapses and keepalive of the TCP stack.

Change: peers mark each table they adopt, with flows that changed home; a home calls a flow unknown only when all peers have marked its table. Whole lists are asked for after a gain or a lost connection. A home behind a peer's table holds. Also: the lease is taken over after two missed beats, agents no longer change balancer when the registrar is silent, an isolated balancer lets agents go.

Conclusion: continuity cannot be seen from two tables; it takes all peers.

--- a/agent/config.go
+++ b/agent/config.go
@@ -10,6 +10,8 @@
 	// syncTimeout bounds how long a new flow waits for peers to say what they
 	// hold. Known flows wait as long as a peer may hold them.
 	syncTimeout = time.Second
+	// syncGrace is the time that peers have to speak up by themselves.
+	syncGrace = 50 * time.Millisecond
 	// syncRetry is the time after which an unanswered request is repeated.
 	syncRetry = 300 * time.Millisecond
 	// placementTimeout drops a placement that no peer has confirmed.
--- a/agent/effect.go
+++ b/agent/effect.go
@@ -37,17 +37,19 @@
 	Key flow.Key
 }
 
-// SyncEffect sends a peer all flows that live here and have their home there.
+// SyncEffect sends a SyncMsg to a peer.
 type SyncEffect struct {
 	To     target.ID
 	Vector service.Vector
 	Flows  []flow.Key
+	Full   bool
 }
 
-// SyncRequestEffect asks a peer for a SyncMsg at a vector or later.
+// SyncRequestEffect sends a SyncRequestMsg to a peer.
 type SyncRequestEffect struct {
 	To     target.ID
 	Vector service.Vector
+	Full   bool
 }
 
 // RegisterEffect tells a home about single flows.
--- a/agent/event.go
+++ b/agent/event.go
@@ -38,7 +38,7 @@
 	switch x := m.(type) {
 	case upOpenMsg:
 		r.up = x.conn
-		r.parent.opened(r.config.Now())
+		r.parent.opened()
 		r.announce()
 	case upCloseMsg:
 		if r.up == x.conn {
@@ -71,8 +71,6 @@
 	changed := false
 	var err error
 	switch e := x.envelope.GetBody().(type) {
-	case *controlpb.Envelope_Beat:
-		r.parent.beat(r.config.Now())
 	case *controlpb.Envelope_Intent:
 		changed, err = r.follower.Intent(e.Intent)
 	case *controlpb.Envelope_Roster:
@@ -191,12 +189,14 @@
 		return SyncRequestMsg{
 			From:   from,
 			Vector: vectorOf(x.SyncRequest.GetVector()),
+			Full:   x.SyncRequest.GetFull(),
 		}
 	case *controlpb.Envelope_Sync:
 		return SyncMsg{
 			From:   from,
 			Vector: vectorOf(x.Sync.GetVector()),
 			Flows:  keysOf(x.Sync.GetFlows()),
+			Full:   x.Sync.GetFull(),
 		}
 	case *controlpb.Envelope_Register:
 		return RegisterMsg{
--- a/agent/follower.go
+++ b/agent/follower.go
@@ -39,13 +39,13 @@
 
 // Intent merges a delta. It returns intent.ErrGap when one is missing.
 func (f *Follower) Intent(m *controlpb.Intent) (bool, error) {
-	return f.document.Merge(m) //nolint:wrapcheck // The sentinel is documented.
+	return f.document.Merge(m)
 }
 
 // Roster merges a delta. It returns roster.ErrGap when one is missing.
 func (f *Follower) Roster(m *controlpb.Roster) (bool, error) {
 	t, err := f.roster.Merge(m)
-	return t != nil, err //nolint:wrapcheck // The sentinel is documented.
+	return t != nil, err
 }
 
 // Table returns the table message in force, or false while the service is
--- a/agent/handoff.go
+++ b/agent/handoff.go
@@ -9,9 +9,10 @@
 	"github.com/lentilshed/lentilshed/target"
 )
 
-// adopt puts a newer table in force. Buckets that come to this agent are
-// complete only after every peer has listed its flows; buckets that leave are
-// handed over with the list of flows that live here.
+// adopt puts a newer table in force. Until every peer has said what it holds
+// under this table or a later one, a flow that is unknown here may live there:
+// tables may have been skipped, here or at a peer, in which buckets went to
+// another home and back.
 func (m *Model) adopt(now time.Time, x TableMsg) {
 	if x.Table == nil || !x.Table.Vector.Covers(m.Vector()) {
 		return
@@ -23,9 +24,10 @@
 	m.deadline = x.Deadline
 	old := m.table
 	m.table = x.Table
+	m.adoptedAt = now
 	m.adoptSelf(now, old)
 	m.adoptPeers(now, old)
-	m.adoptBuckets(now, old)
+	m.adoptBuckets(old)
 	m.dropStalePlacements()
 	m.answerOwed()
 	m.repeatRequests(now)
@@ -88,28 +90,47 @@
 	}
 }
 
-// adoptBuckets notes gained buckets and hands flows over to homes that gained.
-func (m *Model) adoptBuckets(now time.Time, old *service.Table) {
-	gainers := map[target.ID]bool{}
+// adoptBuckets asks for whole lists when buckets were gained, and tells each
+// home of the flows that have just become its own.
+func (m *Model) adoptBuckets(old *service.Table) {
+	if m.gainedAny(old) {
+		for _, p := range m.peers {
+			p.distrust(m.table.Vector)
+		}
+	}
+	moved := m.movedFlows(old)
+	for i := range m.table.Targets {
+		if id := m.table.Targets[i].ID; id != m.config.Self {
+			m.emitSync(id, moved[id], false)
+		}
+	}
+}
+
+// gainedAny reports whether this agent is home of a bucket that, as far as it
+// knows, had another home before.
+func (m *Model) gainedAny(old *service.Table) bool {
 	for b := range flow.Bucket(service.BucketCount) {
 		h, ok := m.table.Home(b)
-		if !ok || sameHome(old, b, h) {
-			continue
+		if ok && h.ID == m.config.Self && !sameHome(old, b, h) {
+			return true
 		}
-		if h.ID == m.config.Self {
-			m.gained[b] = gain{
-				vector: m.table.Vector,
-				at:     now,
-			}
+	}
+	return false
+}
+
+// movedFlows lists the local flows whose home changed, by their new home.
+func (m *Model) movedFlows(old *service.Table) map[target.ID][]flow.Key {
+	moved := map[target.ID][]flow.Key{}
+	for k, f := range m.flows {
+		if f.closing {
 			continue
 		}
-		gainers[h.ID] = true
-	}
-	for i := range m.table.Targets {
-		if id := m.table.Targets[i].ID; gainers[id] {
-			m.sendSync(id)
+		h, ok := m.home(k)
+		if ok && h.ID != m.config.Self && !sameHome(old, m.table.Bucket(k), h) {
+			moved[h.ID] = append(moved[h.ID], k)
 		}
 	}
+	return moved
 }
 
 func sameHome(old *service.Table, b flow.Bucket, h *service.Target) bool {
@@ -129,122 +150,133 @@
 	}
 }
 
-// complete reports whether every peer has listed its flows of a bucket.
-func (m *Model) complete(b flow.Bucket) bool {
+// behind reports whether a peer has listed its flows under a newer table.
+func (m *Model) behind() bool {
+	return !m.Vector().Covers(m.ahead)
+}
+
+// complete reports whether the flows of every peer are known under the table in
+// force, so that a flow unknown here is unknown everywhere.
+func (m *Model) complete() bool {
 	for i := range m.table.Targets {
-		t := &m.table.Targets[i]
-		if t.ID == m.config.Self || t.Out {
-			continue
-		}
-		p := m.peers[t.ID]
-		if p == nil || !p.answered(m.gained[b].vector) {
+		if p := m.watched(&m.table.Targets[i]); p != nil && !p.answered(m.table.Vector) {
 			return false
 		}
 	}
 	return true
 }
 
-// mayOpen reports whether a new flow of a bucket may be placed: every peer has
-// answered or had time to.
-func (m *Model) mayOpen(b flow.Bucket, now time.Time) bool {
+// mayOpen reports whether a new flow may be placed: every peer has answered or
+// had time to.
+func (m *Model) mayOpen(now time.Time) bool {
 	for i := range m.table.Targets {
-		t := &m.table.Targets[i]
-		if t.ID == m.config.Self || t.Out {
+		p := m.watched(&m.table.Targets[i])
+		if p == nil || p.answered(m.table.Vector) {
 			continue
 		}
-		p := m.peers[t.ID]
-		if p == nil || p.answered(m.gained[b].vector) {
-			continue
-		}
-		if now.Sub(m.gained[b].at) < syncTimeout || now.Sub(p.since) < syncTimeout {
+		if now.Sub(m.adoptedAt) < syncTimeout || now.Sub(p.since) < syncTimeout {
 			return false
 		}
 	}
 	return true
 }
 
-// repeatRequests asks peers that still owe a list.
+// watched returns the peer behind a target whose flows matter, or nil.
+func (m *Model) watched(t *service.Target) *peer {
+	if t.ID == m.config.Self || t.Out {
+		return nil
+	}
+	return m.peers[t.ID]
+}
+
+// repeatRequests asks peers that have not answered.
 func (m *Model) repeatRequests(now time.Time) {
 	if m.table == nil || m.self == nil || m.fenced {
 		return
 	}
-	need := m.latestGain()
 	for i := range m.table.Targets {
 		t := &m.table.Targets[i]
-		if t.ID == m.config.Self || t.Out {
+		p := m.watched(t)
+		if p == nil || p.answered(m.table.Vector) || now.Sub(p.askedAt) < syncRetry {
 			continue
 		}
-		p := m.peer(t.ID, now)
-		if p.answered(need) || now.Sub(p.askedAt) < syncRetry {
+		if !p.needFull && now.Sub(m.adoptedAt) < syncGrace {
 			continue
 		}
 		p.askedAt = now
 		m.emit(SyncRequestEffect{
 			To:     t.ID,
-			Vector: need,
+			Vector: m.table.Vector,
+			Full:   p.needFull,
 		})
 	}
 }
 
-// latestGain is the vector that a list must cover to complete every bucket.
-func (m *Model) latestGain() service.Vector {
-	v := service.Vector{}
-	for b := range m.gained {
-		v = v.Join(m.gained[b].vector)
-	}
-	return v
-}
-
 func (m *Model) syncRequest(x SyncRequestMsg) {
 	if !m.Vector().Covers(x.Vector) {
-		m.owed[x.From] = x.Vector
+		m.owed[x.From] = x
 		m.emit(WantEffect{})
 		return
 	}
-	m.sendSync(x.From)
+	m.answerSync(x)
 }
 
 func (m *Model) answerOwed() {
-	for id, v := range m.owed {
-		if m.table.Vector.Covers(v) {
+	for id, x := range m.owed {
+		if m.table.Vector.Covers(x.Vector) {
 			delete(m.owed, id)
-			m.sendSync(id)
+			m.answerSync(x)
 		}
 	}
 }
 
-// sendSync lists the flows that live here and have their home at a peer.
-func (m *Model) sendSync(to target.ID) {
+// answerSync answers a peer, with the flows that live here and have their home
+// there if it asks for the whole list.
+func (m *Model) answerSync(x SyncRequestMsg) {
 	if m.table == nil {
 		return
 	}
+	var keys []flow.Key
+	if x.Full {
+		keys = m.flowsOf(x.From)
+	}
+	m.emitSync(x.From, keys, x.Full)
+}
+
+// flowsOf lists the open local flows that have their home at a target.
+func (m *Model) flowsOf(id target.ID) []flow.Key {
 	var keys []flow.Key
 	for k, f := range m.flows {
 		if f.closing {
 			continue
 		}
-		if h, ok := m.home(k); ok && h.ID == to {
+		if h, ok := m.home(k); ok && h.ID == id {
 			keys = append(keys, k)
 		}
 	}
+	return keys
+}
+
+func (m *Model) emitSync(to target.ID, keys []flow.Key, full bool) {
 	slices.SortFunc(keys, compareKeys)
 	m.stats.ControlFlows += uint64(len(keys))
 	m.emit(SyncEffect{
 		To:     to,
 		Vector: m.table.Vector,
 		Flows:  keys,
+		Full:   full,
 	})
 }
 
-// sync replaces what is known of the flows at a peer.
+// sync notes what a peer holds.
 func (m *Model) sync(now time.Time, x SyncMsg) {
-	p := m.peer(x.From, now)
-	p.hasSynced = true
-	p.synced = p.synced.Join(x.Vector)
-	for k, a := range m.away {
-		if a.target == x.From && a.confirmed {
-			delete(m.away, k)
-		}
+	m.peer(x.From, now).heardSync(x)
+	m.ahead = m.ahead.Join(x.Vector)
+	if m.behind() {
+		m.emit(WantEffect{})
+	}
+	if x.Full {
+		m.forgetFlowsAt(x.From)
 	}
 	for _, k := range x.Flows {
 		m.confirm(k, x.From)
@@ -252,6 +284,15 @@
 	m.flushHeld(now)
 }
 
+// forgetFlowsAt drops the confirmed flows of a peer that is about to list them.
+func (m *Model) forgetFlowsAt(id target.ID) {
+	for k, a := range m.away {
+		if a.target == id && a.confirmed {
+			delete(m.away, k)
+		}
+	}
+}
+
 func (m *Model) register(now time.Time, x RegisterMsg) {
 	m.peer(x.From, now)
 	for _, k := range x.Opened {
@@ -279,14 +320,15 @@
 func (m *Model) peerLost(now time.Time, x PeerLostMsg) {
 	p := m.peer(x.From, now)
 	p.limit = 0
-	p.hasSynced = false
+	p.distrust(m.Vector())
 }
 
 func (m *Model) peer(id target.ID, now time.Time) *peer {
 	p := m.peers[id]
 	if p == nil {
 		p = &peer{
-			since: now,
+			since:    now,
+			needFull: true,
 		}
 		m.peers[id] = p
 	}
--- a/agent/model.go
+++ b/agent/model.go
@@ -20,15 +20,19 @@
 //	m := agent.NewModel(config, now)
 //	for _, e := range m.Update(now, agent.TickMsg{}) { perform(e) }
 type Model struct {
-	config   Config
-	table    *service.Table
-	self     *service.Target
-	gate     *target.Gate
-	flows    map[flow.Key]*localFlow
-	away     map[flow.Key]*placement
-	peers    map[target.ID]*peer
-	gained   [service.BucketCount]gain
-	owed     map[target.ID]service.Vector
+	config Config
+	table  *service.Table
+	self   *service.Target
+	gate   *target.Gate
+	flows  map[flow.Key]*localFlow
+	away   map[flow.Key]*placement
+	peers  map[target.ID]*peer
+	// adoptedAt is when the table in force was adopted.
+	adoptedAt time.Time
+	owed      map[target.ID]SyncRequestMsg
+	// ahead joins the vectors of all lists received. A list made under a newer
+	// table leaves out the buckets that this agent is about to lose.
+	ahead    service.Vector
 	held     heldQueue
 	deadline time.Time
 	stopping bool
@@ -45,12 +49,6 @@
 	expires time.Time
 }
 
-// gain is when a bucket came to this agent.
-type gain struct {
-	vector service.Vector
-	at     time.Time
-}
-
 // NewModel returns a model without a table; it drops packets until the first
 // TableMsg.
 func NewModel(c Config, now time.Time) *Model {
@@ -60,7 +58,7 @@
 		flows:  map[flow.Key]*localFlow{},
 		away:   map[flow.Key]*placement{},
 		peers:  map[target.ID]*peer{},
-		owed:   map[target.ID]service.Vector{},
+		owed:   map[target.ID]SyncRequestMsg{},
 		rand:   rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation))),
 	}
 }
--- a/agent/msg.go
+++ b/agent/msg.go
@@ -32,17 +32,22 @@
 // FencedMsg says that the roster holds a newer life of this target.
 type FencedMsg struct{}
 
-// SyncRequestMsg asks for the flows held in the sender's buckets.
+// SyncRequestMsg asks what is held in the sender's buckets under a vector or a
+// later one. Full asks for the whole list.
 type SyncRequestMsg struct {
 	From   target.ID
 	Vector service.Vector
+	Full   bool
 }
 
-// SyncMsg is the whole list of flows that a peer holds in this agent's buckets.
+// SyncMsg says that this agent has been told of every flow that a peer holds in
+// this agent's buckets under a vector. Flows are the whole list when Full is
+// set, else additions.
 type SyncMsg struct {
 	From   target.ID
 	Vector service.Vector
 	Flows  []flow.Key
+	Full   bool
 }
 
 // RegisterMsg adds and removes single flows that a peer holds.
--- a/agent/parent.go
+++ b/agent/parent.go
@@ -8,12 +8,8 @@
 	"github.com/zeebo/xxh3"
 )
 
-const (
-	// connectTimeout is how long one balancer is tried before the next.
-	connectTimeout = 700 * time.Millisecond
-	// beatTimeout is the silence after which another balancer is tried.
-	beatTimeout = 5 * time.Second
-)
+// connectTimeout is how long one balancer is tried before the next.
+const connectTimeout = 700 * time.Millisecond
 
 // parent chooses the balancer that this agent announces itself to. Each agent
 // has its own order, so that the agents of a lost balancer spread out.
@@ -22,7 +18,6 @@
 	seeds   []string
 	current string
 	since   time.Time
-	heard   time.Time
 	open    bool
 	failed  map[string]time.Time
 }
@@ -36,14 +31,8 @@
 }
 
 // opened notes a connection to the current balancer.
-func (p *parent) opened(now time.Time) {
+func (p *parent) opened() {
 	p.open = true
-	p.heard = now
-}
-
-// beat notes that the current balancer passes news on.
-func (p *parent) beat(now time.Time) {
-	p.heard = now
 }
 
 // closed notes the loss of the connection.
@@ -54,10 +43,10 @@
 
 // choose returns the balancer to use and whether that is a new one.
 func (p *parent) choose(now time.Time, known []string) (string, bool) {
-	if p.current != "" && p.open && now.Sub(p.heard) < beatTimeout {
+	if p.current != "" && p.open {
 		return p.current, false
 	}
-	if p.current != "" && !p.open && now.Sub(p.since) < connectTimeout {
+	if p.current != "" && now.Sub(p.since) < connectTimeout {
 		return p.current, false
 	}
 	if p.current != "" {
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -10,21 +10,40 @@
 // peer is what an agent knows about another agent of its service.
 type peer struct {
 	incarnation target.Incarnation
-	// since is when the peer entered the table.
+	// since is when the peer became known.
 	since time.Time
-	// synced is the vector of the latest whole list of flows, if any.
-	synced    service.Vector
-	hasSynced bool
-	askedAt   time.Time
+	// synced is the vector of the latest SyncMsg. It counts only while needFull
+	// is false.
+	synced service.Vector
+	// needFull is set until the peer has sent its whole list at needVector or
+	// later: what this agent knew of the peer's flows may have gaps.
+	needFull   bool
+	needVector service.Vector
+	askedAt    time.Time
 	// active, limit and placed estimate the room at the peer.
 	active uint32
 	limit  uint32
 	placed uint32
 }
 
-// answered reports whether the peer has listed its flows at a vector or later.
+// answered reports whether the peer's flows are known under a vector.
 func (p *peer) answered(v service.Vector) bool {
-	return p.hasSynced && p.synced.Covers(v)
+	return !p.needFull && p.synced.Covers(v)
+}
+
+// distrust makes the peer list all its flows again.
+func (p *peer) distrust(v service.Vector) {
+	p.needFull = true
+	p.needVector = v
+	p.askedAt = time.Time{}
+}
+
+// heardSync notes a SyncMsg.
+func (p *peer) heardSync(x SyncMsg) {
+	p.synced = p.synced.Join(x.Vector)
+	if x.Full && x.Vector.Covers(p.needVector) {
+		p.needFull = false
+	}
 }
 
 // room reports whether the peer seems to have a free place.
--- a/agent/perform.go
+++ b/agent/perform.go
@@ -31,6 +31,7 @@
 				SyncRequest: &controlpb.SyncRequest{
 					Target: string(r.config.Config.Self),
 					Vector: vectorMessage(x.Vector),
+					Full:   x.Full,
 				},
 			},
 		})
@@ -80,6 +81,7 @@
 				Incarnation: uint64(r.config.Config.Incarnation),
 				Vector:      vectorMessage(x.Vector),
 				Flows:       keyMessages(x.Flows),
+				Full:        x.Full,
 			},
 		},
 	})
--- a/agent/route.go
+++ b/agent/route.go
@@ -94,20 +94,16 @@
 		m.decidePlaced(now, x, p)
 		return
 	}
-	b := m.table.Bucket(x.Inner.Key)
-	if x.Inner.Initial() {
-		if m.mayOpen(b, now) {
-			m.open(now, x, &placement{})
-			return
-		}
+	switch {
+	case m.behind():
 		m.hold(now, x)
-		return
-	}
-	if !m.complete(b) {
+	case x.Inner.Initial() && m.mayOpen(now):
+		m.open(now, x, &placement{})
+	case x.Inner.Initial() || !m.complete():
 		m.hold(now, x)
-		return
+	default:
+		m.resetUnknown(x)
 	}
-	m.resetUnknown(x)
 }
 
 // decidePlaced handles a packet of a flow that was given to a peer.
--- a/balancer/config.go
+++ b/balancer/config.go
@@ -29,6 +29,15 @@
 	links = 4
 )
 
+// The lease of the registrar: a holder renews several times within the TTL; a
+// follower reads it after missing two beats. A needless take-over costs a new
+// term and nothing else, so the bounds are short.
+const (
+	LeaseTTL     = 1500 * time.Millisecond
+	LeaseRenew   = 500 * time.Millisecond
+	LeaseSilence = 2200 * time.Millisecond
+)
+
 // Config says who a balancer is and whom it knows at the start.
 type Config struct {
 	Name        string
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -12,6 +12,11 @@
 	Envelope *controlpb.Envelope
 }
 
+// CloseEffect cuts a control connection.
+type CloseEffect struct {
+	Conn ConnID
+}
+
 // DialEffect replaces the addresses that connections are kept to.
 type DialEffect struct {
 	Addresses []string
--- a/balancer/model.go
+++ b/balancer/model.go
@@ -161,6 +161,20 @@
 		m.stopped = s
 		m.publish()
 	}
+	if s {
+		m.releaseAgents()
+	}
+}
+
+// releaseAgents makes agents look for a balancer that hears more.
+func (m *Model) releaseAgents() {
+	for id, l := range m.links {
+		if l.agent() {
+			m.emit(CloseEffect{
+				Conn: id,
+			})
+		}
+	}
 }
 
 func (m *Model) hasPeer() bool {
--- a/balancer/perform.go
+++ b/balancer/perform.go
@@ -11,6 +11,10 @@
 		if c := r.conns.conn(x.Conn); c != nil {
 			c.Send(x.Envelope)
 		}
+	case CloseEffect:
+		if c := r.conns.conn(x.Conn); c != nil {
+			c.Close()
+		}
 	case DialEffect:
 		r.dialer.Set(x.Addresses)
 	case WatchEffect:
--- a/cmd/lentilshed/demo.go
+++ b/cmd/lentilshed/demo.go
@@ -66,8 +66,8 @@
 		if e := json.NewEncoder(out).Encode(r); e != nil {
 			return errors.Wrap(e, "write report")
 		}
-		return err //nolint:wrapcheck // The sentinel decides the exit status.
+		return err
 	}
 	r.Write(out)
-	return err //nolint:wrapcheck // The sentinel decides the exit status.
+	return err
 }
--- a/control/counted_conn.go
+++ b/control/counted_conn.go
@@ -21,11 +21,11 @@
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.bytes.Received.Add(uint64(n))
-	return n, err
+	return n, err //nolint:wrapcheck // A reader passes io.EOF on as it is.
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.bytes.Sent.Add(uint64(n))
-	return n, err
+	return n, err //nolint:wrapcheck // A reader passes io.EOF on as it is.
 }
--- a/demo/change.go
+++ b/demo/change.go
@@ -56,7 +56,7 @@
 			b, err = s.Change(r.ctx, b, o, f)
 		}
 		if err == nil || time.Now().After(end) {
-			return b, err //nolint:wrapcheck // The caller wraps it.
+			return b, err
 		}
 		time.Sleep(samplePause)
 	}
--- a/demo/load.go
+++ b/demo/load.go
@@ -3,15 +3,18 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/lentilshed/lentilshed/standin/caller"
 )
 
 const (
-	lifeMin  = 0.2
-	lifeMax  = 1.5
-	openTick = 20 * time.Millisecond
+	// brokenShown is how many flows broken by planned changes are described.
+	brokenShown = 20
+	lifeMin     = 0.2
+	lifeMax     = 1.5
+	openTick    = 20 * time.Millisecond
 	// rampShare is the part of a run in which the flows are opened.
 	rampShare = 0.12
 )
@@ -168,7 +171,7 @@
 
 func (r *Run) collectBroken(e caller.End) {
 	p := &r.report
-	if at, ok := r.crashes[e.Target]; ok && e.Opened.Before(at) && e.At.After(at) {
+	if r.lostInCrash(e) {
 		p.BrokenCrashed++
 		return
 	}
@@ -177,6 +180,22 @@
 		return
 	}
 	p.BrokenPlanned++
+	if p.BrokenPlanned <= brokenShown {
+		at := e.At.Sub(r.started).Seconds()
+		r.say("broken: %s flow at %s, %s after %d lines, ended at %.2f s", e.Service, e.Target, e.Outcome, e.Lines, at)
+	}
+}
+
+// lostInCrash reports whether a flow ended with its crashed target. A flow that
+// was not answered yet may have been at any target of the service.
+func (r *Run) lostInCrash(e caller.End) bool {
+	for name, at := range r.crashes {
+		same := e.Target == name || (e.Lines == 0 && strings.HasPrefix(name, e.Service+"-"))
+		if same && !e.Opened.After(at) && e.At.After(at) {
+			return true
+		}
+	}
+	return false
 }
 
 // wasOut reports whether a flow ended with its target's failure domain.
--- a/demo/region.go
+++ b/demo/region.go
@@ -101,9 +101,9 @@
 			Seeds:       g.seeds(),
 			Lease: lease.Config{
 				Holder:  fmt.Sprintf("%s/%d", name, life),
-				TTL:     3 * time.Second,
-				Renew:   time.Second,
-				Silence: 2500 * time.Millisecond,
+				TTL:     balancer.LeaseTTL,
+				Renew:   balancer.LeaseRenew,
+				Silence: balancer.LeaseSilence,
 			},
 		},
 		Platform: platform.New(platform.Config{
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -32,6 +32,11 @@
 	OutcomeWrong
 )
 
+// String returns the outcome in words.
+func (o Outcome) String() string {
+	return [...]string{"unknown", "done", "refused", "not answered", "reset", "silent", "wrong answer"}[o]
+}
+
 const (
 	dialTimeout   = 4 * time.Second
 	answerTimeout = 6 * time.Second
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -97,7 +97,7 @@
 
 // Dial opens a flow as a caller at an address.
 func (f *Fabric) Dial(ctx context.Context, from, to netip.AddrPort) (net.Conn, error) {
-	return f.stack.Dial(ctx, from, to) //nolint:wrapcheck // The stack's error says enough.
+	return f.stack.Dial(ctx, from, to)
 }
 
 // Close ends all flows.
