Offer new flows to peers over the control connection, not in packets

Change: homes reserve a place at a peer with one ordered request; the answer doubles as registration; late answers and lost connections are settled by the peer's list or a release. Draining targets stay homes when nobody else can be. New flows wait 3 s for silent peers, past the time a crash takes to be seen.

Conclusion: decisions that open a flow must not ride in packets.

--- a/agent/config.go
+++ b/agent/config.go
@@ -8,14 +8,15 @@
 
 const (
 	// syncTimeout bounds how long a new flow waits for peers to say what they
-	// hold. Known flows wait as long as a peer may hold them.
-	syncTimeout = time.Second
+	// hold; a crashed peer has left the table by then. Other packets wait as
+	// long as a peer may hold their flow.
+	syncTimeout = 3 * time.Second
 	// syncGrace is the time that peers have to speak up by themselves.
 	syncGrace = 50 * time.Millisecond
 	// syncRetry is the time after which an unanswered request is repeated.
 	syncRetry = 300 * time.Millisecond
-	// placementTimeout drops a placement that no peer has confirmed.
-	placementTimeout = 5 * time.Second
+	// reserveTimeout ends a reservation whose flow never came.
+	reserveTimeout = 10 * time.Second
 	// closeLinger keeps a closed flow known, so that late packets reach the
 	// stack that can answer them.
 	closeLinger = 10 * time.Second
--- a/agent/effect.go
+++ b/agent/effect.go
@@ -59,6 +59,26 @@
 	Ended  []flow.Key
 }
 
+// ReserveEffect asks a peer to admit a new flow.
+type ReserveEffect struct {
+	To     target.ID
+	Key    flow.Key
+	Vector service.Vector
+}
+
+// ReservedEffect answers a ReserveMsg.
+type ReservedEffect struct {
+	To       target.ID
+	Key      flow.Key
+	Admitted bool
+}
+
+// ReleaseEffect sends a ReleaseMsg to a peer.
+type ReleaseEffect struct {
+	To  target.ID
+	Key flow.Key
+}
+
 // LoadEffect tells all peers how full this target is.
 type LoadEffect struct {
 	Active uint32
--- a/agent/event.go
+++ b/agent/event.go
@@ -128,6 +128,9 @@
 	id := target.ID(c.Peer.GetName())
 	if c.Dialed && r.dialed[id] == c {
 		delete(r.dialed, id)
+		r.update(PeerUnreachableMsg{
+			To: id,
+		})
 	}
 	if !c.Dialed && r.inbound[id] == c {
 		delete(r.inbound, id)
@@ -204,6 +207,23 @@
 			Opened: keysOf(x.Register.GetOpened()),
 			Ended:  keysOf(x.Register.GetEnded()),
 		}
+	case *controlpb.Envelope_Reserve:
+		return ReserveMsg{
+			From:   from,
+			Key:    keyOf(x.Reserve.GetFlow()),
+			Vector: vectorOf(x.Reserve.GetVector()),
+		}
+	case *controlpb.Envelope_Reserved:
+		return ReservedMsg{
+			From:     from,
+			Key:      keyOf(x.Reserved.GetFlow()),
+			Admitted: x.Reserved.GetAdmitted(),
+		}
+	case *controlpb.Envelope_Release:
+		return ReleaseMsg{
+			From: from,
+			Key:  keyOf(x.Release.GetFlow()),
+		}
 	case *controlpb.Envelope_Load:
 		return LoadMsg{
 			From:   from,
@@ -224,10 +244,14 @@
 func keysOf(l []*controlpb.FlowKey) []flow.Key {
 	keys := make([]flow.Key, 0, len(l))
 	for _, k := range l {
-		keys = append(keys, flow.Key{
-			Source: k.GetSource(),
-			Port:   uint16(k.GetSourcePort()),
-		})
+		keys = append(keys, keyOf(k))
 	}
 	return keys
 }
+
+func keyOf(k *controlpb.FlowKey) flow.Key {
+	return flow.Key{
+		Source: k.GetSource(),
+		Port:   uint16(k.GetSourcePort()),
+	}
+}
--- a/agent/handoff.go
+++ b/agent/handoff.go
@@ -122,7 +122,7 @@
 func (m *Model) movedFlows(old *service.Table) map[target.ID][]flow.Key {
 	moved := map[target.ID][]flow.Key{}
 	for k, f := range m.flows {
-		if f.closing {
+		if f.state == flowClosing {
 			continue
 		}
 		h, ok := m.home(k)
@@ -247,7 +247,7 @@
 func (m *Model) flowsOf(id target.ID) []flow.Key {
 	var keys []flow.Key
 	for k, f := range m.flows {
-		if f.closing {
+		if f.state == flowClosing {
 			continue
 		}
 		if h, ok := m.home(k); ok && h.ID == id {
@@ -307,10 +307,15 @@
 
 // confirm records that a flow lives at a peer.
 func (m *Model) confirm(k flow.Key, at target.ID) {
-	if f := m.flows[k]; f != nil && !f.closing {
-		m.stats.Violations++
+	if f := m.flows[k]; f != nil && f.state != flowClosing {
+		m.emitRelease(at, k)
 		return
 	}
+	if p := m.away[k]; p != nil && p.confirmed && p.target != at {
+		m.emitRelease(at, k)
+		return
+	}
+	delete(m.flows, k)
 	m.away[k] = &placement{
 		target:    at,
 		confirmed: true,
@@ -321,6 +326,17 @@
 	p := m.peer(x.From, now)
 	p.limit = 0
 	p.distrust(m.Vector())
+	m.forgetOffersTo(x.From)
+}
+
+// forgetOffersTo drops offers whose answer may be lost. The peer's whole list
+// tells whether it admitted the flow.
+func (m *Model) forgetOffersTo(id target.ID) {
+	for k, a := range m.away {
+		if a.target == id && !a.confirmed {
+			delete(m.away, k)
+		}
+	}
 }
 
 func (m *Model) peer(id target.ID, now time.Time) *peer {
--- a/agent/model.go
+++ b/agent/model.go
@@ -43,12 +43,6 @@
 	effects  []Effect
 }
 
-// localFlow is a flow that the backend server of this agent holds.
-type localFlow struct {
-	closing bool
-	expires time.Time
-}
-
 // NewModel returns a model without a table; it drops packets until the first
 // TableMsg.
 func NewModel(c Config, now time.Time) *Model {
@@ -81,10 +75,18 @@
 		m.sync(now, x)
 	case RegisterMsg:
 		m.register(now, x)
+	case ReserveMsg:
+		m.reserve(now, x)
+	case ReservedMsg:
+		m.reserved(now, x)
+	case ReleaseMsg:
+		m.release(x)
 	case LoadMsg:
 		m.peerLoad(now, x)
 	case PeerLostMsg:
 		m.peerLost(now, x)
+	case PeerUnreachableMsg:
+		m.forgetOffersTo(x.To)
 	case FlowEndedMsg:
 		m.flowEnded(now, x)
 	case AnswerMsg:
@@ -133,7 +135,7 @@
 // Holds reports whether a flow lives here.
 func (m *Model) Holds(k flow.Key) bool {
 	f := m.flows[k]
-	return f != nil && !f.closing
+	return f != nil && f.state != flowClosing
 }
 
 func (m *Model) emit(e Effect) {
@@ -156,10 +158,10 @@
 
 func (m *Model) flowEnded(now time.Time, x FlowEndedMsg) {
 	f := m.flows[x.Key]
-	if f == nil || f.closing {
+	if f == nil || f.state == flowClosing {
 		return
 	}
-	f.closing = true
+	f.state = flowClosing
 	f.expires = now.Add(closeLinger)
 	m.gate.Release()
 	if x.Lost {
@@ -170,7 +172,7 @@
 // endAll gives up every local flow and counts those still open.
 func (m *Model) endAll(counter *uint64) {
 	for k, f := range m.flows {
-		if f.closing {
+		if f.state == flowClosing {
 			continue
 		}
 		*counter++
@@ -191,12 +193,17 @@
 	}
 }
 
+// expire forgets closed flows and reservations whose flow never came, and
+// tells their homes.
 func (m *Model) expire(now time.Time) {
 	ended := map[target.ID][]flow.Key{}
 	for k, f := range m.flows {
-		if !f.closing || now.Before(f.expires) {
+		if f.state == flowOpen || now.Before(f.expires) {
 			continue
 		}
+		if f.state == flowReserved {
+			m.gate.Release()
+		}
 		delete(m.flows, k)
 		if h, ok := m.home(k); ok && h.ID != m.config.Self {
 			ended[h.ID] = append(ended[h.ID], k)
@@ -205,11 +212,6 @@
 	for id, keys := range ended {
 		m.sendRegister(id, nil, keys)
 	}
-	for k, p := range m.away {
-		if !p.confirmed && now.After(p.expires) {
-			delete(m.away, k)
-		}
-	}
 }
 
 // home returns the home of a flow under the table in force.
--- a/agent/msg.go
+++ b/agent/msg.go
@@ -57,6 +57,26 @@
 	Ended  []flow.Key
 }
 
+// ReserveMsg asks this agent to admit a new flow on behalf of its home.
+type ReserveMsg struct {
+	From   target.ID
+	Key    flow.Key
+	Vector service.Vector
+}
+
+// ReservedMsg answers a ReserveEffect.
+type ReservedMsg struct {
+	From     target.ID
+	Key      flow.Key
+	Admitted bool
+}
+
+// ReleaseMsg takes an admission back that the home has no use for.
+type ReleaseMsg struct {
+	From target.ID
+	Key  flow.Key
+}
+
 // LoadMsg is how full a peer is.
 type LoadMsg struct {
 	From   target.ID
@@ -70,6 +90,11 @@
 	From target.ID
 }
 
+// PeerUnreachableMsg says that messages to a peer may be lost.
+type PeerUnreachableMsg struct {
+	To target.ID
+}
+
 // FlowEndedMsg says that both directions of a local flow have closed, or that
 // it never opened. Lost is set when the backend server dropped it.
 type FlowEndedMsg struct {
--- a/agent/open.go
+++ b/agent/open.go
@@ -17,36 +17,40 @@
 		m.refuse(x)
 	case id == m.config.Self:
 		delete(m.away, x.Inner.Key)
-		m.admit(now, x)
+		m.admitHere(now, x)
 	default:
-		m.placeAt(now, x, p, id)
+		m.offer(now, x, p, id)
 	}
 }
 
-// admit takes a new flow here. The caller has checked that there is room.
-func (m *Model) admit(now time.Time, x PacketMsg) bool {
-	if !m.admits() || !m.gate.Admit(now) {
-		return false
+// admitHere takes a new flow here. The caller has checked that there is room.
+func (m *Model) admitHere(now time.Time, x PacketMsg) {
+	if !m.gate.Admit(now) {
+		m.refuse(x)
+		return
 	}
 	m.stats.Admitted++
-	m.flows[x.Inner.Key] = &localFlow{}
+	m.flows[x.Inner.Key] = &localFlow{
+		state: flowOpen,
+	}
 	m.emit(DeliverEffect{
 		Data: x.Data,
 	})
-	return true
 }
 
-func (m *Model) placeAt(now time.Time, x PacketMsg, p *placement, id target.ID) {
-	t, ok := m.table.Find(id)
-	if !ok {
-		m.refuse(x)
-		return
-	}
-	p.ask(id, now)
+// offer asks a peer to admit a new flow. Offers and answers travel in order on
+// the control connection, so a repeated or late packet cannot open a flow twice.
+func (m *Model) offer(now time.Time, x PacketMsg, p *placement, id target.ID) {
+	p.ask(id)
+	p.first = x
 	m.away[x.Inner.Key] = p
 	m.peer(id, now).placed++
 	m.stats.Placed++
-	m.send(t, packet.KindPlace, x)
+	m.emit(ReserveEffect{
+		To:     id,
+		Key:    x.Inner.Key,
+		Vector: m.table.Vector,
+	})
 }
 
 // refuse tells the caller at once that the service has no room.
@@ -59,39 +63,102 @@
 	m.reset(x)
 }
 
-// place takes a new flow for the home that sent it, or sends it back.
-func (m *Model) place(now time.Time, x PacketMsg) {
-	h, ok := m.home(x.Inner.Key)
-	if !ok {
-		m.noTarget(x)
-		return
+// reserve admits a new flow for its home, or says no.
+func (m *Model) reserve(now time.Time, x ReserveMsg) {
+	m.emit(ReservedEffect{
+		To:       x.From,
+		Key:      x.Key,
+		Admitted: m.admitFor(now, x),
+	})
+}
+
+func (m *Model) admitFor(now time.Time, x ReserveMsg) bool {
+	if f := m.flows[x.Key]; f != nil && f.state != flowClosing {
+		return true
+	}
+	h, ok := m.home(x.Key)
+	if m.Vector().Covers(x.Vector) && (!ok || h.ID != x.From) {
+		return false
+	}
+	if !m.admits() || !m.gate.Admit(now) {
+		return false
 	}
-	newer := m.table.Vector.Covers(x.Meta.Vector) && m.table.Vector != x.Meta.Vector
-	if newer || h.ID == m.config.Self {
-		m.forward(now, x)
+	m.stats.Admitted++
+	m.flows[x.Key] = &localFlow{
+		state:   flowReserved,
+		expires: now.Add(reserveTimeout),
+	}
+	return true
+}
+
+// reserved takes a peer's answer to an offer.
+func (m *Model) reserved(now time.Time, x ReservedMsg) {
+	p := m.away[x.Key]
+	if p == nil || p.confirmed || p.target != x.From {
+		m.lateReserved(x, p)
 		return
 	}
-	if !m.admit(now, x) {
-		m.send(h, packet.KindRefused, x)
+	if !x.Admitted {
+		if q := m.peers[x.From]; q != nil {
+			q.limit = min(q.limit, q.active)
+		}
+		delete(m.away, x.Key)
+		m.retry(now, p)
 		return
 	}
-	m.sendRegister(h.ID, []flow.Key{x.Inner.Key}, nil)
+	p.confirmed = true
+	first := p.first
+	p.first = PacketMsg{}
+	if t, ok := m.table.Find(x.From); ok {
+		m.send(t, packet.KindDeliver, first)
+	}
+}
+
+// lateReserved takes the answer to an offer that was given up.
+func (m *Model) lateReserved(x ReservedMsg, p *placement) {
+	_, here := m.flows[x.Key]
+	h, ok := m.home(x.Key)
+	mine := ok && h.ID == m.config.Self
+	switch {
+	case !x.Admitted || !mine:
+	case p == nil && !here:
+		m.confirm(x.Key, x.From)
+	case p == nil || p.target != x.From:
+		m.emitRelease(x.From, x.Key)
+	}
+}
+
+func (m *Model) emitRelease(to target.ID, k flow.Key) {
+	m.emit(ReleaseEffect{
+		To:  to,
+		Key: k,
+	})
 }
 
-// refused offers a flow that a peer sent back to another one.
-func (m *Model) refused(now time.Time, x PacketMsg) {
-	p := m.away[x.Inner.Key]
-	if p == nil {
-		p = &placement{}
+// release ends a reservation. A flow that has come already stays; two targets
+// then hold it, which must not happen.
+func (m *Model) release(x ReleaseMsg) {
+	f := m.flows[x.Key]
+	if f == nil || f.state == flowClosing {
+		return
 	}
-	if p.confirmed {
-		m.decidePlaced(now, x, p)
+	if f.state == flowOpen {
+		m.stats.Violations++
 		return
 	}
-	if q := m.peers[p.target]; q != nil {
-		q.limit = min(q.limit, q.active)
+	m.gate.Release()
+	delete(m.flows, x.Key)
+}
+
+// retry offers a flow to another target after a refusal, unless its home or the
+// knowledge about it has changed meanwhile; then the packet starts again.
+func (m *Model) retry(now time.Time, p *placement) {
+	h, ok := m.home(p.first.Inner.Key)
+	if ok && h.ID == m.config.Self && !m.behind() && m.mayOpen(now) {
+		m.open(now, p.first, p)
+		return
 	}
-	m.open(now, x, p)
+	m.packet(now, p.first)
 }
 
 // choose picks the target of a new flow: this one unless it is fuller than the
@@ -132,7 +199,7 @@
 // drawPeer draws two peers with room, weighted by their limits, and returns
 // the one used less.
 func (m *Model) drawPeer(p *placement) (target.ID, *peer) {
-	if p.count >= maxPlacements {
+	if !p.mayAsk() {
 		return "", nil
 	}
 	var ids []target.ID
--- a/agent/perform.go
+++ b/agent/perform.go
@@ -37,6 +37,27 @@
 		})
 	case RegisterEffect:
 		r.sendRegister(x)
+	case ReserveEffect:
+		r.sendReserve(x)
+	case ReleaseEffect:
+		r.toPeer(x.To, &controlpb.Envelope{
+			Body: &controlpb.Envelope_Release{
+				Release: &controlpb.Release{
+					Target: string(r.config.Config.Self),
+					Flow:   keyMessage(x.Key),
+				},
+			},
+		})
+	case ReservedEffect:
+		r.toPeer(x.To, &controlpb.Envelope{
+			Body: &controlpb.Envelope_Reserved{
+				Reserved: &controlpb.Reserved{
+					Target:   string(r.config.Config.Self),
+					Flow:     keyMessage(x.Key),
+					Admitted: x.Admitted,
+				},
+			},
+		})
 	case LoadEffect:
 		r.sendLoad(x)
 	case WantEffect:
@@ -87,6 +108,25 @@
 	})
 }
 
+// sendReserve offers a flow; a peer that cannot be reached has refused it.
+func (r *Runtime) sendReserve(x ReserveEffect) {
+	sent := r.toPeer(x.To, &controlpb.Envelope{
+		Body: &controlpb.Envelope_Reserve{
+			Reserve: &controlpb.Reserve{
+				Target: string(r.config.Config.Self),
+				Flow:   keyMessage(x.Key),
+				Vector: vectorMessage(x.Vector),
+			},
+		},
+	})
+	if !sent {
+		r.later = append(r.later, ReservedMsg{
+			From: x.To,
+			Key:  x.Key,
+		})
+	}
+}
+
 func (r *Runtime) sendRegister(x RegisterEffect) {
 	r.toPeer(x.To, &controlpb.Envelope{
 		Body: &controlpb.Envelope_Register{
@@ -117,10 +157,9 @@
 
 // toPeer sends on the connection that this agent dialed. What cannot be sent is
 // lost; the peer notices the broken connection and asks for the whole list.
-func (r *Runtime) toPeer(id target.ID, e *controlpb.Envelope) {
-	if c := r.dialed[id]; c != nil {
-		c.Send(e)
-	}
+func (r *Runtime) toPeer(id target.ID, e *controlpb.Envelope) bool {
+	c := r.dialed[id]
+	return c != nil && c.Send(e)
 }
 
 func vectorMessage(v service.Vector) *controlpb.Vector {
@@ -133,10 +172,14 @@
 func keyMessages(keys []flow.Key) []*controlpb.FlowKey {
 	l := make([]*controlpb.FlowKey, 0, len(keys))
 	for _, k := range keys {
-		l = append(l, &controlpb.FlowKey{
-			Source:     k.Source,
-			SourcePort: uint32(k.Port),
-		})
+		l = append(l, keyMessage(k))
 	}
 	return l
 }
+
+func keyMessage(k flow.Key) *controlpb.FlowKey {
+	return &controlpb.FlowKey{
+		Source:     k.Source,
+		SourcePort: uint32(k.Port),
+	}
+}
--- a/agent/placement.go
+++ b/agent/placement.go
@@ -1,36 +1,33 @@
 package agent
 
-import (
-	"time"
+import "github.com/lentilshed/lentilshed/target"
 
-	"github.com/lentilshed/lentilshed/target"
-)
-
-// placement records that a flow of one of this agent's buckets lives at a
-// peer. It is soft state: the peer repeats it whenever the home changes.
+// placement records that a flow of one of this agent's buckets lives at a peer,
+// or is offered to one. It is soft state: the peer repeats it whenever the home
+// changes.
 type placement struct {
 	target target.ID
-	// confirmed is set once the peer says that it holds the flow.
+	// confirmed is set once the peer has admitted the flow. Until then first
+	// holds the packet that opens it.
 	confirmed bool
-	expires   time.Time
-	asked     [maxPlacements]target.ID
-	count     int
+	first     PacketMsg
+	asked     []target.ID
 }
 
 // ask notes that the flow is offered to a target.
-func (p *placement) ask(id target.ID, now time.Time) {
+func (p *placement) ask(id target.ID) {
 	p.target = id
-	p.confirmed = false
-	p.expires = now.Add(placementTimeout)
-	if p.count < maxPlacements {
-		p.asked[p.count] = id
-	}
-	p.count++
+	p.asked = append(p.asked, id)
+}
+
+// mayAsk reports whether the flow may be offered to one more target.
+func (p *placement) mayAsk() bool {
+	return len(p.asked) < maxPlacements
 }
 
 // tried reports whether the flow was offered to a target before.
 func (p *placement) tried(id target.ID) bool {
-	for _, x := range p.asked[:min(p.count, maxPlacements)] {
+	for _, x := range p.asked {
 		if x == id {
 			return true
 		}
--- a/agent/route.go
+++ b/agent/route.go
@@ -18,14 +18,11 @@
 	if m.deliverLocal(x) {
 		return
 	}
-	switch x.Meta.Kind {
-	case packet.KindPlace:
-		m.place(now, x)
-	case packet.KindDeliver:
+	if x.Meta.Kind == packet.KindDeliver {
 		m.notHere(x)
-	case packet.KindForward, packet.KindRefused:
-		m.forward(now, x)
+		return
 	}
+	m.forward(now, x)
 }
 
 // acceptable rejects packets of other services and packets that nobody may
@@ -50,10 +47,13 @@
 	if f == nil {
 		return false
 	}
-	if f.closing && x.Inner.Initial() {
+	if f.state == flowClosing && x.Inner.Initial() {
 		delete(m.flows, x.Inner.Key)
 		return false
 	}
+	if f.state == flowReserved && x.Inner.Initial() {
+		f.state = flowOpen
+	}
 	m.emit(DeliverEffect{
 		Data: x.Data,
 	})
@@ -81,8 +81,6 @@
 		m.noTarget(x)
 	case h.ID != m.config.Self:
 		m.send(h, packet.KindForward, x)
-	case x.Meta.Kind == packet.KindRefused:
-		m.refused(now, x)
 	default:
 		m.decide(now, x)
 	}
@@ -106,15 +104,15 @@
 	}
 }
 
-// decidePlaced handles a packet of a flow that was given to a peer.
+// decidePlaced handles a packet of a flow that was given or offered to a peer.
 func (m *Model) decidePlaced(now time.Time, x PacketMsg, p *placement) {
 	t, ok := m.table.Find(p.target)
-	if ok && !t.Out {
-		k := packet.KindDeliver
-		if x.Inner.Initial() {
-			k = packet.KindPlace
-		}
-		m.send(t, k, x)
+	switch {
+	case ok && !t.Out && p.confirmed:
+		m.send(t, packet.KindDeliver, x)
+		return
+	case ok && !t.Out:
+		m.drop(packet.ReasonUnsynced)
 		return
 	}
 	delete(m.away, x.Inner.Key)
--- a/agent/runtime.go
+++ b/agent/runtime.go
@@ -77,6 +77,8 @@
 	dialed   map[target.ID]*control.Conn
 	inbound  map[target.ID]*control.Conn
 	flows    *flowTable
+	// later holds messages that effects led to.
+	later    []Msg
 	bytes    control.Bytes
 	codec    *packet.Codec
 	outMu    sync.Mutex
@@ -321,10 +323,16 @@
 	}
 }
 
+// update passes a message to the model, then what its effects led to at once.
 func (r *Runtime) update(m Msg) {
 	for _, e := range r.model.Update(r.config.Now(), m) {
 		r.perform(e)
 	}
+	for len(r.later) > 0 {
+		next := r.later[0]
+		r.later = r.later[1:]
+		r.update(next)
+	}
 }
 
 // read takes packets from the socket.
--- a/packet/meta.go
+++ b/packet/meta.go
@@ -12,10 +12,6 @@
 const (
 	// KindForward asks the receiver to find the flow's target.
 	KindForward Kind = iota + 1
-	// KindPlace asks the receiver to admit a new flow on behalf of its home.
-	KindPlace
-	// KindRefused returns a new flow that the receiver's peer had no room for.
-	KindRefused
 	// KindDeliver carries a packet of a flow that the receiver holds.
 	KindDeliver
 )
--- a/service/table.go
+++ b/service/table.go
@@ -88,13 +88,23 @@
 	}
 }
 
-// bestTarget returns the index of the highest weighted rendezvous score.
+// bestTarget returns the index of the highest weighted rendezvous score. A
+// service whose targets all leave keeps its homes among them: they take no new
+// flows, but still know where the open ones live.
 func (t *Table) bestTarget(bucket uint64, seeds []uint64) uint16 {
+	i := t.bestOf(bucket, seeds, func(x *Target) bool { return x.Homes })
+	if i == NoHome {
+		i = t.bestOf(bucket, seeds, func(*Target) bool { return true })
+	}
+	return i
+}
+
+func (t *Table) bestOf(bucket uint64, seeds []uint64, may func(*Target) bool) uint16 {
 	best := uint16(NoHome)
 	top := math.Inf(-1)
 	for i := range t.Targets {
 		x := &t.Targets[i]
-		if !x.Homes || x.Out || x.Weight == 0 {
+		if x.Out || x.Weight == 0 || !may(x) {
 			continue
 		}
 		s := score(bucket, seeds[i], x.Weight)
