Add balancer and agent processes, settings checks and the operators' language

Cause: the path ran only inside the demo; operators had no tool.

Change: lentilshed balancer, agent and check-config with TOML settings checked before anything starts; lentilctl with statements, scripts, a prompt, plan, apply and wait; logs, metrics, traces and health. Flows that the agent ends itself no longer count as losses of the backend server.

Conclusion: no test covers the new commands yet.

--- a/agent/model.go
+++ b/agent/model.go
@@ -69,6 +69,23 @@
 	case FencedMsg:
 		m.fenced = true
 		m.endAll(&m.stats.EndedDomainOut)
+	case FlowEndedMsg:
+		m.flowEnded(now, x)
+	case StopMsg:
+		m.stopping = true
+	case TickMsg:
+		m.tick(now)
+	default:
+		m.peerMessage(now, msg)
+		m.observe(now, msg)
+	}
+	m.check()
+	return m.effects
+}
+
+// peerMessage takes what other agents say and what becomes of them.
+func (m *Model) peerMessage(now time.Time, msg Msg) {
+	switch x := msg.(type) {
 	case SyncRequestMsg:
 		m.syncRequest(x)
 	case SyncMsg:
@@ -87,21 +104,19 @@
 		m.peerLost(now, x)
 	case PeerUnreachableMsg:
 		m.forgetOffersTo(x.To)
-	case FlowEndedMsg:
-		m.flowEnded(now, x)
+	}
+}
+
+// observe takes what is seen of the backend server.
+func (m *Model) observe(now time.Time, msg Msg) {
+	switch x := msg.(type) {
 	case AnswerMsg:
 		m.gate.ObserveLatency(now, x.Latency)
 	case ReportMsg:
 		m.gate.ObserveLoad(now, x.Load)
 	case RestartMsg:
 		m.gate.TurnCold(now)
-	case StopMsg:
-		m.stopping = true
-	case TickMsg:
-		m.tick(now)
 	}
-	m.check()
-	return m.effects
 }
 
 // Stats returns the counters so far.
--- a/agent/splice.go
+++ b/agent/splice.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -28,6 +27,9 @@
 	// nanoseconds; zero while nothing is unanswered.
 	asked  atomic.Int64
 	answer func(time.Duration)
+	// broken is set when the caller's side failed first, lost when the backend
+	// server's side did.
+	broken atomic.Bool
 	lost   atomic.Bool
 }
 
@@ -91,53 +93,41 @@
 
 // copyIn copies from the caller to the backend server.
 func (s *splice) copyIn() {
-	err := transfer(s.backend, s.caller, func() {
-		s.asked.CompareAndSwap(0, time.Now().UnixNano())
-	})
-	if err != nil {
-		_ = s.backend.SetLinger(0)
-		_ = s.backend.Close()
+	c := transfer{
+		to:   s.backend,
+		from: s.caller,
+		seen: func() { s.asked.CompareAndSwap(0, time.Now().UnixNano()) },
+	}
+	if c.run() == nil {
+		_ = s.backend.CloseWrite()
 		return
 	}
-	_ = s.backend.CloseWrite()
+	s.broken.Store(true)
+	_ = s.backend.SetLinger(0)
+	_ = s.backend.Close()
 }
 
 // copyOut copies from the backend server to the caller. A backend server that
 // breaks off makes the caller's side break off too, so that part of an answer
 // never looks whole.
 func (s *splice) copyOut() {
-	err := transfer(s.caller, s.backend, func() {
-		if t := s.asked.Swap(0); t != 0 {
-			s.answer(time.Duration(time.Now().UnixNano() - t))
-		}
-	})
-	if err != nil {
-		s.lost.Store(true)
-		s.caller.Abort()
+	c := transfer{
+		to:   s.caller,
+		from: s.backend,
+		seen: s.answered,
+	}
+	if c.run() == nil {
+		_ = s.caller.CloseWrite()
 		return
 	}
-	_ = s.caller.CloseWrite()
+	s.lost.Store(c.readFailed && !s.broken.Load())
+	s.caller.Abort()
 }
 
-// transfer copies until end of file and calls seen before each write.
-func transfer(to io.Writer, from io.Reader, seen func()) error {
-	p, _ := spliceBuffers.Get().(*[]byte)
-	defer spliceBuffers.Put(p)
-	b := *p
-	for {
-		n, err := from.Read(b)
-		if n > 0 {
-			seen()
-			if _, err := to.Write(b[:n]); err != nil {
-				return err //nolint:wrapcheck // Only whether it failed matters.
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err //nolint:wrapcheck // Only whether it failed matters.
-		}
+// answered notes the first bytes of an answer.
+func (s *splice) answered() {
+	if t := s.asked.Swap(0); t != 0 {
+		s.answer(time.Duration(time.Now().UnixNano() - t))
 	}
 }
 
--- /dev/null
+++ b/agent/transfer.go
@@ -0,0 +1,36 @@
+package agent
+
+import "io"
+
+// transfer copies one direction of a flow.
+type transfer struct {
+	to   io.Writer
+	from io.Reader
+	// seen is called when bytes have come, before they are passed on.
+	seen func()
+	// readFailed tells whether it was the reader that failed.
+	readFailed bool
+}
+
+// run copies until end of file, which gives nil.
+func (t *transfer) run() error {
+	p, _ := spliceBuffers.Get().(*[]byte)
+	defer spliceBuffers.Put(p)
+	b := *p
+	for {
+		n, err := t.from.Read(b)
+		if n > 0 {
+			t.seen()
+			if _, err := t.to.Write(b[:n]); err != nil {
+				return err //nolint:wrapcheck // Only whether it failed matters.
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			t.readFailed = true
+			return err //nolint:wrapcheck // Only whether it failed matters.
+		}
+	}
+}
--- /dev/null
+++ b/cmd/lentilshed/process.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/agent"
+	"github.com/lentilshed/lentilshed/balancer"
+	"github.com/lentilshed/lentilshed/lease"
+	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/settings"
+	"github.com/lentilshed/lentilshed/target"
+	"github.com/lentilshed/lentilshed/telemetry"
+	"github.com/phuslu/log"
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	gaugePeriod = time.Second
+	// defaultStopTimeout bounds a graceful shutdown that settings do not bound.
+	defaultStopTimeout = 30 * time.Second
+)
+
+// process is what balancers and agents have in common.
+type process struct {
+	instance  *settings.Instance
+	log       *log.Logger
+	metrics   *telemetry.Metrics
+	tracer    *telemetry.Tracer
+	traceFile io.Closer
+	admin     *telemetry.Admin
+	done      chan struct{}
+}
+
+func newProcess(f *settings.File, role string, errOut io.Writer) (*process, error) {
+	i := instanceOf(f)
+	t, c, err := openTraces(f.Trace, i.Name, errOut)
+	if err != nil {
+		return nil, err
+	}
+	return &process{
+		instance:  i,
+		log:       telemetry.NewLogger(errOut, role+" "+i.Name, f.Log.Level),
+		metrics:   telemetry.NewMetrics(role, i.Name),
+		tracer:    t,
+		traceFile: c,
+		done:      make(chan struct{}),
+	}, nil
+}
+
+func instanceOf(f *settings.File) *settings.Instance {
+	if f.Balancer != nil {
+		return &f.Balancer.Instance
+	}
+	return &f.Agent.Instance
+}
+
+func (p *process) serveAdmin(health func() error) error {
+	if p.instance.Admin == "" {
+		return nil
+	}
+	a, err := telemetry.NewAdmin(p.instance.Admin, p.metrics.Handler, health)
+	p.admin = a
+	return err
+}
+
+func (p *process) close() {
+	close(p.done)
+	if p.admin != nil {
+		p.admin.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+	defer cancel()
+	_ = p.tracer.Close(ctx)
+	_ = p.metrics.Close()
+	if p.traceFile != nil {
+		_ = p.traceFile.Close()
+	}
+}
+
+// gauges updates metrics now and then until the process ends.
+func (p *process) gauges(update func()) {
+	go func() {
+		t := time.NewTicker(gaugePeriod)
+		defer t.Stop()
+		for {
+			select {
+			case <-p.done:
+				return
+			case <-t.C:
+				update()
+			}
+		}
+	}()
+}
+
+// newLife returns an incarnation that is higher than those of earlier starts.
+func newLife() uint64 {
+	return uint64(time.Now().UnixMicro())
+}
+
+func (p *process) startBalancer(s *settings.Balancer) (*instance, error) {
+	life := newLife()
+	calls := p.metrics.Scope
+	r, err := balancer.NewRuntime(balancer.RuntimeConfig{
+		Config: balancer.Config{
+			Name:        s.Name,
+			Region:      s.Region,
+			Domain:      s.Domain,
+			Incarnation: life,
+			Packets:     s.Packets,
+			Control:     s.Control,
+			Seeds:       s.Balancers,
+			Lease: lease.Config{
+				Holder:  fmt.Sprintf("%s/%d", s.Name, life),
+				Address: s.Control,
+				TTL:     balancer.LeaseTTL,
+				Renew:   balancer.LeaseRenew,
+				Silence: balancer.LeaseSilence,
+			},
+		},
+		Platform: platform.New(platform.Config{
+			BaseURL: s.Platform,
+			Seed:    xxh3.HashString(s.Name) + life,
+			Count: func(method, outcome string) {
+				calls.Tagged(map[string]string{"method": method, "outcome": outcome}).Counter("platform_calls").Inc(1)
+			},
+		}),
+		Log:    p.log,
+		Scope:  p.metrics.Scope,
+		Tracer: p.tracer,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start balancer")
+	}
+	p.gauges(func() { p.balancerGauges(r) })
+	return &instance{
+		health: r.Health,
+		stop:   r.Close,
+	}, nil
+}
+
+func (p *process) balancerGauges(r *balancer.Runtime) {
+	s := r.State()
+	g := p.metrics.Scope
+	g.Gauge("intent_revision").Update(float64(s.Revision))
+	g.Gauge("roster_version").Update(float64(s.Version))
+	g.Gauge("agents").Update(float64(s.Agents))
+	g.Gauge("registrar").Update(truth(s.Registrar))
+	g.Gauge("isolated").Update(truth(s.Isolated))
+	g.Gauge("violations").Update(float64(s.Stats.Violations))
+	sent, received := r.ControlBytes()
+	g.Gauge("control_bytes_sent").Update(float64(sent))
+	g.Gauge("control_bytes_received").Update(float64(received))
+}
+
+func (p *process) startAgent(s *settings.Agent) (*instance, error) {
+	fabric, err := netip.ParseAddrPort(s.Fabric)
+	if err != nil {
+		return nil, errors.Wrap(err, "agent.fabric_address")
+	}
+	life := newLife()
+	r, err := agent.NewRuntime(agent.RuntimeConfig{
+		Config: agent.Config{
+			Self:        target.ID(s.Name),
+			Incarnation: target.Incarnation(life),
+			Service:     s.Service,
+			Domain:      s.Domain,
+			Gate: target.GateConfig{
+				Limit: uint32(s.Limit),
+			},
+			Seed: xxh3.HashString(s.Name),
+		},
+		Region:    s.Region,
+		Packets:   s.Packets,
+		Control:   s.Control,
+		Balancers: s.Balancers,
+		Fabric:    fabric,
+		Backend:   s.Backend,
+		LoadURL:   s.Load,
+		Log:       p.log,
+		Scope:     p.metrics.Scope,
+		Tracer:    p.tracer,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start agent")
+	}
+	p.gauges(func() { p.agentGauges(r) })
+	return &instance{
+		health: r.Health,
+		stop:   func() { p.stopAgent(r, time.Duration(s.StopTimeout)) },
+	}, nil
+}
+
+// stopAgent waits for open flows, then says how many were cut.
+func (p *process) stopAgent(r *agent.Runtime, timeout time.Duration) {
+	if timeout == 0 {
+		timeout = defaultStopTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	p.log.Info().Int("flows", int(r.State().Active)).Dur("stop_timeout", timeout).Msg("leaving, waiting for flows to end")
+	if n := r.Leave(ctx); n > 0 {
+		p.log.Warn().Int("flows", n).Msg("stop timeout passed, cutting flows")
+	}
+	r.Close()
+}
+
+func (p *process) agentGauges(r *agent.Runtime) {
+	s := r.State()
+	g := p.metrics.Scope
+	g.Gauge("intent_revision").Update(float64(s.Revision))
+	g.Gauge("roster_version").Update(float64(s.Version))
+	g.Gauge("flows").Update(float64(s.Active))
+	g.Gauge("flow_limit").Update(float64(s.Limit))
+	g.Gauge("capacity_learned").Update(float64(s.Capacity))
+	g.Gauge("flows_at_peers").Update(float64(s.Away))
+	g.Gauge("cold").Update(truth(s.Cold))
+	g.Gauge("joined").Update(truth(s.Joined))
+	g.Gauge("cold_restarts_seen").Update(float64(s.Restarts))
+	g.Gauge("flows_admitted").Update(float64(s.Stats.Admitted))
+	g.Gauge("flows_refused").Update(float64(s.Stats.Refused))
+	g.Gauge("flows_reset_unknown").Update(float64(s.Stats.ResetUnknown))
+	g.Gauge("violations").Update(float64(s.Stats.Violations))
+	sent, received := r.ControlBytes()
+	g.Gauge("control_bytes_sent").Update(float64(sent))
+	g.Gauge("control_bytes_received").Update(float64(received))
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/cmd/lentilshed/root.go
+++ b/cmd/lentilshed/root.go
@@ -27,7 +27,12 @@
 	c.SetArgs(args)
 	c.SetOut(out)
 	c.SetErr(errOut)
-	c.AddCommand(newDemoCommand(out, errOut))
+	c.AddCommand(
+		newServeCommand(roleBalancer, errOut),
+		newServeCommand(roleAgent, errOut),
+		newCheckCommand(out),
+		newDemoCommand(out, errOut),
+	)
 	err := c.Execute()
 	switch {
 	case err == nil:
--- a/demo/imbalance.go
+++ b/demo/imbalance.go
@@ -1,16 +1,12 @@
 package demo
 
-// imbalanceMeter collects load divided by real capacity, once a sample.
+// imbalanceMeter averages the most loaded target's load over the mean load of
+// its service.
 type imbalanceMeter struct {
 	samples int
 	sum     float64
-	worst   float64
-	window  []float64
 }
 
-// windowSamples is the number of samples in ten seconds.
-const windowSamples = 100
-
 // leastLoad is the mean load below which single flows decide the ratio.
 const leastLoad = 0.15
 
@@ -26,16 +22,8 @@
 	if mean < leastLoad {
 		return
 	}
-	x := top / mean
 	m.samples++
-	m.sum += x
-	m.window = append(m.window, x)
-	if len(m.window) > windowSamples {
-		m.window = m.window[1:]
-	}
-	if len(m.window) == windowSamples {
-		m.worst = max(m.worst, average(m.window))
-	}
+	m.sum += top / mean
 }
 
 func (m *imbalanceMeter) mean() float64 {
@@ -44,11 +32,3 @@
 	}
 	return m.sum / float64(m.samples)
 }
-
-func average(l []float64) float64 {
-	s := 0.0
-	for _, x := range l {
-		s += x
-	}
-	return s / float64(len(l))
-}
--- a/demo/load.go
+++ b/demo/load.go
@@ -17,6 +17,8 @@
 	openTick    = 20 * time.Millisecond
 	// rampShare is the part of a run in which the flows are opened.
 	rampShare = 0.12
+	// steadyFrom is the share of a run after which the first flows are open.
+	steadyFrom = 0.16
 )
 
 // load keeps the number of live flows near the wanted one.
@@ -65,15 +67,23 @@
 	defer t.Stop()
 	for time.Since(r.started) < r.options.Length {
 		<-t.C
-		if time.Since(r.started) < r.options.Length/6 {
+		m := &r.changing
+		switch x := time.Since(r.started).Seconds() / r.options.Length.Seconds(); {
+		case x < steadyFrom:
 			continue
+		case x < shift()[0].at:
+			m = &r.steady
 		}
-		for _, g := range r.regions {
-			for _, s := range g.deployment.Services {
-				r.mu.Lock()
-				r.imbalance.add(g.loads(s))
-				r.mu.Unlock()
-			}
+		r.sampleInto(m)
+	}
+}
+
+func (r *Run) sampleInto(m *imbalanceMeter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, g := range r.regions {
+		for _, s := range g.deployment.Services {
+			m.add(g.loads(s))
 		}
 	}
 }
@@ -126,8 +136,8 @@
 	p.InForceP50MS = float64(r.inForce.ValueAtQuantile(50)) / 1000
 	p.InForceP99MS = float64(r.inForce.ValueAtQuantile(99)) / 1000
 	p.InForceMaxMS = float64(r.inForce.Max()) / 1000
-	p.ImbalanceMaxOverMean = r.imbalance.mean()
-	p.ImbalanceWorst = r.imbalance.worst
+	p.ImbalanceMaxOverMean = r.steady.mean()
+	p.ImbalanceChanging = r.changing.mean()
 }
 
 func (r *Run) collectRegion(g *region) {
@@ -198,19 +208,32 @@
 	return false
 }
 
-// wasOut reports whether a flow ended with its target's failure domain.
+// wasOut reports whether a flow ended with its target's failure domain. A flow
+// that was not answered yet may have been at any target.
 func (r *Run) wasOut(e caller.End) bool {
 	from := r.started.Add(time.Duration(0.44 * float64(r.options.Length)))
 	to := r.started.Add(time.Duration(0.60 * float64(r.options.Length))).Add(stepWait)
 	if e.At.Before(from) || e.At.After(to) {
 		return false
 	}
+	if e.Lines == 0 {
+		return e.Opened.Before(from.Add(time.Second))
+	}
 	for _, g := range r.regions {
-		for _, s := range g.deployment.Services {
-			for _, t := range s.Targets {
-				if t.Name == e.Target && t.Domain == g.domainOut() {
-					return true
-				}
+		if g.holdsOut(e.Target) {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsOut reports whether a target is in the failure domain that a run takes
+// out.
+func (g *region) holdsOut(target string) bool {
+	for _, s := range g.deployment.Services {
+		for _, t := range s.Targets {
+			if t.Name == target && t.Domain == g.domainOut() {
+				return true
 			}
 		}
 	}
--- a/demo/run.go
+++ b/demo/run.go
@@ -39,12 +39,13 @@
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 
-	mu        sync.Mutex
-	report    Report
-	ends      []caller.End
-	crashes   map[string]time.Time
-	inForce   *hdrhistogram.Histogram
-	imbalance imbalanceMeter
+	mu       sync.Mutex
+	report   Report
+	ends     []caller.End
+	crashes  map[string]time.Time
+	inForce  *hdrhistogram.Histogram
+	steady   imbalanceMeter
+	changing imbalanceMeter
 }
 
 // Start plays a whole run and returns its report. The error is ErrViolated
--- a/demo/shift.go
+++ b/demo/shift.go
@@ -47,9 +47,24 @@
 		}
 	}
 	time.Sleep(time.Until(r.started.Add(r.options.Length)))
+	r.sayTargets()
 	return nil
 }
 
+// sayTargets shows what each target holds, and what it was thought to bear.
+func (r *Run) sayTargets() {
+	for _, g := range r.regions {
+		for _, s := range g.deployment.Services {
+			for _, t := range s.Targets {
+				a := g.agents[t.Name].State()
+				b := g.backends[t.Name]
+				r.say("%-14s %-16s holds %4d, bears %4d, limit %4d, learned %4d, away %4d, restarts %d",
+					t.Name, t.Domain, b.Active(), b.Bears(), a.Limit, a.Capacity, a.Away, a.Restarts)
+			}
+		}
+	}
+}
+
 // setFaults turns the faults of the network and the platform on or off.
 func (r *Run) setFaults(on bool) {
 	f := fabric.Faults{}
--- /dev/null
+++ b/operator/apply.go
@@ -0,0 +1,66 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/lentilshed/lentilshed/declaration"
+	"github.com/lentilshed/lentilshed/intent"
+)
+
+// plan is a list of changes, for people and programs.
+type plan struct {
+	Revision uint64               `json:"from_revision"`
+	Changes  []declaration.Change `json:"changes"`
+}
+
+// Text lists the changes, one a line.
+func (p plan) Text() string {
+	if len(p.Changes) == 0 {
+		return fmt.Sprintf("nothing to change at revision %d\n", p.Revision)
+	}
+	var b strings.Builder
+	for _, c := range p.Changes {
+		_, _ = fmt.Fprintf(&b, "%s %s: %s\n", c.Sign, c.Service, c.Details)
+	}
+	return b.String()
+}
+
+// Plan shows what Apply would change.
+func (s *Session) Plan(ctx context.Context, dir string) error {
+	_, _, err := s.plan(ctx, dir)
+	return err
+}
+
+// Apply shows the changes and makes them as one conditional write.
+func (s *Session) Apply(ctx context.Context, dir string) error {
+	h, declared, err := s.plan(ctx, dir)
+	if err != nil {
+		return err
+	}
+	l := declaration.Plan(h.Document, declared)
+	if len(l) == 0 {
+		return nil
+	}
+	summary := fmt.Sprintf("apply %d changed services", len(l))
+	return s.ChangeFrom(ctx, h, summary, func(e *intent.Edit) error {
+		declaration.Apply(e, l, declared)
+		return nil
+	})
+}
+
+func (s *Session) plan(ctx context.Context, dir string) (intent.Held, []declaration.Service, error) {
+	declared, err := declaration.Read(dir)
+	if err != nil {
+		return intent.Held{}, nil, err
+	}
+	h, err := s.store.Read(ctx)
+	if err != nil {
+		return intent.Held{}, nil, err
+	}
+	return h, declared, s.print(plan{
+		Revision: h.Document.Revision,
+		Changes:  declaration.Plan(h.Document, declared),
+	})
+}
--- /dev/null
+++ b/operator/change.go
@@ -0,0 +1,168 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/declaration"
+	"github.com/lentilshed/lentilshed/fleet"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/query"
+	"github.com/lentilshed/lentilshed/roster"
+)
+
+// drain takes a target out of new flows and says beforehand what a deadline
+// will cut.
+func (s *Session) drain(ctx context.Context, d *query.Drain) error {
+	t, err := d.Timeout()
+	if err != nil {
+		return err
+	}
+	f, err := s.config.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	if err := knownTarget(f, d.Target); err != nil {
+		return err
+	}
+	summary := "drain " + d.Target
+	deadline := time.Time{}
+	if t > 0 {
+		deadline = s.config.Now().Add(t)
+		n := f.Instance(d.Target).GetVitals().GetActive()
+		summary += fmt.Sprintf(" within %s (%d flows open now; those left at %s are cut)", t, n, deadline.UTC().Format(time.RFC3339))
+	}
+	return s.Change(ctx, summary, func(_ intent.Held, e *intent.Edit) error {
+		e.SetDraining(d.Target, true, deadline)
+		return nil
+	})
+}
+
+func (s *Session) undrain(ctx context.Context, target string) error {
+	return s.Change(ctx, "undrain "+target, func(h intent.Held, e *intent.Edit) error {
+		o := h.Document.Targets[target]
+		if o == nil {
+			return unknown("target", target, keys(h.Document.Targets))
+		}
+		if o.GetDraining() {
+			e.SetDraining(target, false, time.Time{})
+		}
+		return nil
+	})
+}
+
+func (s *Session) setDomain(ctx context.Context, name string, out bool) error {
+	verb := "bring back domain "
+	if out {
+		verb = "take out domain "
+	}
+	f, err := s.config.Fleet(ctx)
+	if err != nil && !out {
+		return err
+	}
+	return s.Change(ctx, verb+name, func(h intent.Held, e *intent.Edit) error {
+		if err := knownDomain(f, h.Document, name); err != nil {
+			return err
+		}
+		if h.Document.Out(name) != out {
+			e.SetDomain(name, out, s.config.Now())
+		}
+		return nil
+	})
+}
+
+// set changes one field of a service.
+func (s *Session) set(ctx context.Context, q *query.Set) error {
+	summary := fmt.Sprintf("set service %s %s %s", q.Service, q.Field, q.Value)
+	return s.Change(ctx, summary, func(h intent.Held, e *intent.Edit) error {
+		old := h.Document.Services[q.Service]
+		if old == nil || old.GetDeleted() {
+			return unknown("service", q.Service, keys(h.Document.Services))
+		}
+		d := describe(old)
+		if err := assign(&d, q.Field, q.Value); err != nil {
+			return err
+		}
+		if err := declaration.Check("set", &d); err != nil {
+			return err
+		}
+		e.PutService(d.Message())
+		return nil
+	})
+}
+
+// describe turns a stored service back into its declaration.
+func describe(s *controlpb.Service) declaration.Service {
+	return declaration.Service{
+		Name:      s.GetName(),
+		Address:   s.GetAddress(),
+		Domains:   s.GetDomains(),
+		FlowLimit: int64(s.GetFlowLimit()),
+		ColdShare: s.GetColdShare(),
+		Warmup:    (time.Duration(s.GetWarmupMs()) * time.Millisecond).String(),
+	}
+}
+
+func assign(d *declaration.Service, field, value string) error {
+	var err error
+	switch field {
+	case "flow_limit":
+		_, err = fmt.Sscan(value, &d.FlowLimit)
+	case "cold_share":
+		_, err = fmt.Sscan(value, &d.ColdShare)
+	case "warmup":
+		d.Warmup = value
+	}
+	if err != nil {
+		return errors.Mark(errors.Newf("set: %s: %q is not a number", field, value), declaration.ErrInvalid)
+	}
+	return nil
+}
+
+func knownTarget(f *fleet.Snapshot, name string) error {
+	var names []string
+	for _, m := range f.Members {
+		if m.GetService() == roster.Instances || m.GetState() == controlpb.MemberState_MEMBER_STATE_GONE {
+			continue
+		}
+		if m.GetTarget() == name {
+			return nil
+		}
+		names = append(names, m.GetTarget())
+	}
+	return unknown("target", name, names)
+}
+
+// knownDomain accepts a domain that any instance runs in or that was ordered
+// before. A domain may be taken out even when no balancer answers.
+func knownDomain(f *fleet.Snapshot, d *intent.Document, name string) error {
+	if f == nil || d.Domains[name] != nil {
+		return nil
+	}
+	var names []string
+	for _, m := range f.Members {
+		if m.GetDomain() == name {
+			return nil
+		}
+		names = append(names, m.GetDomain())
+	}
+	return unknown("domain", name, names)
+}
+
+func unknown(kind, name string, known []string) error {
+	if near := query.Nearest(name, known); near != "" {
+		return errors.Mark(errors.Newf("unknown %s %q; did you mean %q?", kind, name, near), ErrUnknownName)
+	}
+	return errors.Mark(errors.Newf("unknown %s %q", kind, name), ErrUnknownName)
+}
+
+func keys[V any](m map[string]V) []string {
+	l := make([]string, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	return l
+}
--- /dev/null
+++ b/operator/session.go
@@ -0,0 +1,137 @@
+// Package operator carries the operators' statements out: it reads the accepted
+// state from the platform and the live state from the balancers, and changes
+// the accepted state with one conditional write for each statement.
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/fleet"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/query"
+)
+
+var (
+	// ErrUnknownName is returned for a target, domain or service that nobody
+	// knows.
+	ErrUnknownName = errors.New("unknown name")
+	// ErrNotInForce is returned when a wait ends before all instances follow.
+	ErrNotInForce = errors.New("not in force everywhere")
+)
+
+// Output is the form of results.
+type Output string
+
+const (
+	// OutputText is for people.
+	OutputText Output = "text"
+	// OutputJSON is one JSON value for each statement.
+	OutputJSON Output = "json"
+)
+
+// Config says where a session works and for whom.
+type Config struct {
+	Client *platform.Client
+	Region string
+	Author string
+	Output Output
+	Out    io.Writer
+	// Now replaces the clock; nil takes time.Now.
+	Now func() time.Time
+	// Fleet replaces the read of the live state; nil asks the balancers.
+	Fleet func(ctx context.Context) (*fleet.Snapshot, error)
+}
+
+// Session carries out statements one after the other.
+type Session struct {
+	config Config
+	store  *intent.Store
+}
+
+// New returns a session.
+func New(c Config) *Session {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Fleet == nil {
+		c.Fleet = func(ctx context.Context) (*fleet.Snapshot, error) {
+			return fleet.Read(ctx, c.Client, c.Region)
+		}
+	}
+	return &Session{
+		config: c,
+		store:  intent.NewStore(c.Client, c.Region),
+	}
+}
+
+// Do parses and carries out one statement.
+func (s *Session) Do(ctx context.Context, line string) error {
+	q, err := query.Parse(line)
+	if err != nil {
+		return err
+	}
+	switch {
+	case q.Show != nil:
+		return s.show(ctx, q.Show)
+	case q.Drain != nil:
+		return s.drain(ctx, q.Drain)
+	case q.Undrain != nil:
+		return s.undrain(ctx, q.Undrain.Name)
+	case q.TakeOut != nil:
+		return s.setDomain(ctx, q.TakeOut.Name, true)
+	case q.BringBack != nil:
+		return s.setDomain(ctx, q.BringBack.Name, false)
+	case q.Set != nil:
+		return s.set(ctx, q.Set)
+	}
+	return s.help()
+}
+
+// Change makes one accepted change and says which revision it became.
+func (s *Session) Change(ctx context.Context, summary string, f func(held intent.Held, e *intent.Edit) error) error {
+	h, err := s.store.Read(ctx)
+	if err != nil {
+		return err
+	}
+	return s.ChangeFrom(ctx, h, summary, func(e *intent.Edit) error { return f(h, e) })
+}
+
+// ChangeFrom makes a change on top of what the operator has seen.
+func (s *Session) ChangeFrom(ctx context.Context, seen intent.Held, summary string, f func(*intent.Edit) error) error {
+	h, err := s.store.Change(ctx, seen, &controlpb.Operation{
+		Id:      rand.Text(),
+		Author:  s.config.Author,
+		AtMs:    s.config.Now().UnixMilli(),
+		Summary: summary,
+	}, f)
+	if err != nil {
+		return err
+	}
+	return s.print(accepted{
+		Accepted: summary,
+		Revision: h.Document.Revision,
+	})
+}
+
+// Read returns the accepted state.
+func (s *Session) Read(ctx context.Context) (intent.Held, error) {
+	return s.store.Read(ctx)
+}
+
+// accepted is the result of a change.
+type accepted struct {
+	Accepted string `json:"accepted"`
+	Revision uint64 `json:"revision"`
+}
+
+// Text returns the result for people.
+func (a accepted) Text() string {
+	return fmt.Sprintf("accepted as revision %d: %s\n", a.Revision, a.Accepted)
+}
--- /dev/null
+++ b/operator/table.go
@@ -0,0 +1,97 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/query"
+)
+
+// texter is a result that people can read.
+type texter interface {
+	Text() string
+}
+
+// table is rows under named columns.
+type table struct {
+	columns []string
+	rows    [][]string
+}
+
+func newTable(columns ...string) *table {
+	return &table{
+		columns: columns,
+		rows:    [][]string{},
+	}
+}
+
+func (t *table) add(values ...any) {
+	r := make([]string, 0, len(values))
+	for _, v := range values {
+		r = append(r, fmt.Sprint(v))
+	}
+	t.rows = append(t.rows, r)
+}
+
+// filter keeps the rows that a statement asks for.
+func (t *table) filter(w *query.Where) error {
+	if w == nil {
+		return nil
+	}
+	c := -1
+	for i, n := range t.columns {
+		if n == w.Column {
+			c = i
+		}
+	}
+	if c < 0 {
+		return unknown("column", w.Column, t.columns)
+	}
+	rows := [][]string{}
+	for _, r := range t.rows {
+		if (r[c] == w.Value) != w.Not {
+			rows = append(rows, r)
+		}
+	}
+	t.rows = rows
+	return nil
+}
+
+// Text lays the rows out in columns.
+func (t *table) Text() string {
+	var b bytes.Buffer
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.Join(t.columns, "\t"))
+	for _, r := range t.rows {
+		_, _ = fmt.Fprintln(w, strings.Join(r, "\t"))
+	}
+	_ = w.Flush()
+	return b.String()
+}
+
+// MarshalJSON gives one object a row.
+func (t *table) MarshalJSON() ([]byte, error) {
+	l := make([]map[string]string, 0, len(t.rows))
+	for _, r := range t.rows {
+		o := make(map[string]string, len(r))
+		for i, v := range r {
+			o[t.columns[i]] = v
+		}
+		l = append(l, o)
+	}
+	b, err := json.Marshal(l)
+	return b, errors.Wrap(err, "encode table")
+}
+
+// print writes a result in the form that the operator chose.
+func (s *Session) print(x texter) error {
+	if s.config.Output == OutputJSON {
+		return errors.Wrap(json.NewEncoder(s.config.Out).Encode(x), "write result")
+	}
+	_, err := fmt.Fprint(s.config.Out, x.Text())
+	return errors.Wrap(err, "write result")
+}
--- /dev/null
+++ b/query/statement.go
@@ -0,0 +1,117 @@
+// Package query is the operators' language: one statement a line, to see the
+// state of the system and to change it.
+package query
+
+import (
+	"strings"
+	"time"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+	"github.com/cockroachdb/errors"
+)
+
+// ErrSyntax is returned for a statement that cannot be read. The message has
+// the position and, where one is close, the word that was probably meant.
+var ErrSyntax = errors.New("syntax error")
+
+// Statement is one parsed statement; exactly one field is set.
+type Statement struct {
+	Show      *Show  `parser:"  'show' @@"`
+	Drain     *Drain `parser:"| 'drain' @@"`
+	Undrain   *Name  `parser:"| 'undrain' @@"`
+	TakeOut   *Name  `parser:"| 'take' 'out' 'domain' @@"`
+	BringBack *Name  `parser:"| 'bring' 'back' 'domain' @@"`
+	Set       *Set   `parser:"| 'set' 'service' @@"`
+	Help      bool   `parser:"| @'help'"`
+}
+
+// Show asks for one of the tables.
+type Show struct {
+	What  string `parser:"@('services' | 'targets' | 'domains' | 'instances' | 'changes' | 'handover')"`
+	Of    string `parser:"('of' @Word)?"`
+	Where *Where `parser:"('where' @@)?"`
+}
+
+// Where keeps the rows whose column compares with a value.
+type Where struct {
+	Column string `parser:"@Word"`
+	Not    bool   `parser:"(@'!=' | '=')"`
+	Value  string `parser:"@Word"`
+}
+
+// Drain takes a target out of new flows.
+type Drain struct {
+	Target   string `parser:"@Word"`
+	Deadline string `parser:"('within' @Word)?"`
+}
+
+// Name is the object of a statement.
+type Name struct {
+	Name string `parser:"@Word"`
+}
+
+// Set changes one field of a service.
+type Set struct {
+	Service string `parser:"@Word"`
+	Field   string `parser:"@('flow_limit' | 'cold_share' | 'warmup')"`
+	Value   string `parser:"@Word"`
+}
+
+// Words lists every word of the language, for completion.
+func Words() []string {
+	return []string{
+		"show", "services", "targets", "domains", "instances", "changes", "handover", "of", "where",
+		"drain", "within", "undrain", "take", "out", "bring", "back", "domain", "set", "service",
+		"flow_limit", "cold_share", "warmup", "help",
+	}
+}
+
+// Parse reads one statement.
+//
+//	s, err := query.Parse("show targets of liedlive where state = draining")
+func Parse(line string) (*Statement, error) {
+	s, err := statements.ParseString("", line)
+	if err == nil {
+		return s, nil
+	}
+	var p participle.Error
+	if !errors.As(err, &p) {
+		return nil, errors.Mark(err, ErrSyntax)
+	}
+	return nil, syntaxError(line, p)
+}
+
+// Timeout returns the time that flows get before they are cut; zero is no limit.
+func (d *Drain) Timeout() (time.Duration, error) {
+	if d.Deadline == "" {
+		return 0, nil
+	}
+	t, err := time.ParseDuration(d.Deadline)
+	if err != nil || t <= 0 {
+		return 0, errors.Mark(errors.Newf("within: %q is not a time like 30m", d.Deadline), ErrSyntax)
+	}
+	return t, nil
+}
+
+var statements = participle.MustBuild[Statement](
+	participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
+		{Name: "Word", Pattern: `[A-Za-z0-9_.:/-]+`},
+		{Name: "Op", Pattern: `!=|=`},
+		{Name: "Space", Pattern: `\s+`},
+		{Name: "Other", Pattern: `.`},
+	})),
+	participle.Elide("Space"),
+)
+
+func syntaxError(line string, p participle.Error) error {
+	column := min(max(p.Position().Offset, 0), len(line))
+	word, _, _ := strings.Cut(strings.TrimLeft(line[column:], " "), " ")
+	if word == "" {
+		return errors.Mark(errors.Newf("column %d: the statement ends too soon; try: help", column+1), ErrSyntax)
+	}
+	if near := Nearest(word, Words()); near != "" && near != word {
+		return errors.Mark(errors.Newf("column %d: unknown word %q; did you mean %q?", column+1, word, near), ErrSyntax)
+	}
+	return errors.Mark(errors.Newf("column %d: unexpected %q; try: help", column+1, word), ErrSyntax)
+}
--- a/target/gate.go
+++ b/target/gate.go
@@ -115,7 +115,7 @@
 // ObserveLatency takes the time from a caller's bytes to the first bytes of
 // the answer. It reports whether the target has turned cold.
 func (g *Gate) ObserveLatency(now time.Time, d time.Duration) bool {
-	slow := g.latency.observe(d)
+	slow := g.latency.observe(now, d)
 	if slow && !g.Cold(now) {
 		g.TurnCold(now)
 		return true
--- a/target/latency_watch.go
+++ b/target/latency_watch.go
@@ -3,41 +3,58 @@
 import "time"
 
 const (
-	fastRate = 0.3
-	slowRate = 0.01
-	// slowRatio is the rise over the usual latency that is taken for a restart.
-	slowRatio = 4
-	// slowSamples is how many answers in a row must be slow.
-	slowSamples = 8
-	// settledSamples is how many answers make the usual latency known.
-	settledSamples = 32
-	// leastLatency hides the jitter of very fast answers.
-	leastLatency = 2 * time.Millisecond
+	// latencyWindow is the span whose answers are averaged; a window takes part
+	// in a decision only when it has enough answers.
+	latencyWindow  = 250 * time.Millisecond
+	leastAnswers   = 4
+	usualRate      = 0.1
+	slowRatio      = 4
+	slowWindows    = 3
+	settledWindows = 4
+	// slowMargin hides the jitter of very fast answers.
+	slowMargin = 5 * time.Millisecond
 )
 
-// latencyWatch compares recent answers with the usual ones.
+// latencyWatch compares recent answers with the usual ones. A stall of the
+// machine slows one window; a cold target slows all of them.
 type latencyWatch struct {
-	fast    float64
+	start   time.Time
+	sum     time.Duration
+	count   int
 	usual   float64
-	samples int
+	windows int
 	slow    int
 }
 
 // observe takes one answer time and returns true when answers have been far
-// slower than usual for several in a row.
-func (w *latencyWatch) observe(d time.Duration) bool {
-	x := float64(max(d, leastLatency))
-	w.samples++
-	if w.samples == 1 {
-		w.fast = x
-		w.usual = x
+// slower than usual for several windows in a row.
+func (w *latencyWatch) observe(now time.Time, d time.Duration) bool {
+	if w.start.IsZero() {
+		w.start = now
 	}
-	w.fast += fastRate * (x - w.fast)
-	if w.samples > settledSamples && w.fast > slowRatio*w.usual {
+	if now.Sub(w.start) < latencyWindow {
+		w.sum += d
+		w.count++
+		return false
+	}
+	mean := float64(w.sum) / float64(max(1, w.count))
+	enough := w.count >= leastAnswers
+	w.start = now
+	w.sum = d
+	w.count = 1
+	return enough && w.closeWindow(mean)
+}
+
+func (w *latencyWatch) closeWindow(mean float64) bool {
+	w.windows++
+	if w.windows == 1 {
+		w.usual = mean
+	}
+	if w.windows > settledWindows && mean > slowRatio*w.usual && mean > w.usual+float64(slowMargin) {
 		w.slow++
-		return w.slow >= slowSamples
+		return w.slow >= slowWindows
 	}
 	w.slow = 0
-	w.usual += slowRate * (x - w.usual)
+	w.usual += usualRate * (mean - w.usual)
 	return false
 }
