Suspect before lapsed, forget flows of a domain taken out, settle disputes

A crashed home was replaced after more than 3 s, so a caller's fourth retransmission was lost too. An agent whose domain was out kept flows whose handshake was under way, and listed them when the domain came back, against the target that held them by then.

Change: a target that misses heartbeats for 1 s is suspect: home of nothing, its flows neither dead nor waited for by new ones; after 4 s it has lapsed. Agents forget every flow when their domain goes out. Two targets that claim one flow are both asked; only the one whose caller completed the handshake keeps it. A registrar never serves one term twice. Agents can explain a flow.

Conclusion: liveness takes two stages; who holds a flow is the caller's word.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -7,7 +7,7 @@
 )
 
 // announcePeriod is the time between two heartbeats to the balancer.
-const announcePeriod = 500 * time.Millisecond
+const announcePeriod = 300 * time.Millisecond
 
 // tick runs the model's timeouts, keeps the uplink and sends the heartbeat.
 func (r *Runtime) tick() {
@@ -118,5 +118,6 @@
 		Joined:   r.model.self != nil && r.model.self.Homes,
 		Restarts: g.Restarts(),
 		Stats:    r.model.Stats(),
+		Waiting:  r.model.Waiting(),
 	})
 }
--- a/agent/config.go
+++ b/agent/config.go
@@ -17,6 +17,9 @@
 	syncRetry = 300 * time.Millisecond
 	// reserveTimeout ends a reservation whose flow never came.
 	reserveTimeout = 10 * time.Second
+	// disputeTimeout is the time that two targets have to say which of them
+	// holds a flow.
+	disputeTimeout = 2 * time.Second
 	// closeLinger keeps a closed flow known, so that late packets reach the
 	// stack that can answer them.
 	closeLinger = 10 * time.Second
--- a/agent/event.go
+++ b/agent/event.go
@@ -55,6 +55,8 @@
 		r.leaving = true
 		r.update(StopMsg{})
 		r.announce()
+	case explainMsg:
+		x.reply <- r.model.Explain(x.key)
 	case goneMsg:
 		r.gone = true
 		r.announce()
--- /dev/null
+++ b/agent/explain.go
@@ -0,0 +1,48 @@
+package agent
+
+import (
+	"fmt"
+
+	"github.com/lentilshed/lentilshed/flow"
+)
+
+// Explain says in one line what the model knows of a flow, for people who look
+// for one that went astray.
+func (m *Model) Explain(k flow.Key) string {
+	h, ok := m.home(k)
+	if !ok {
+		return "no home"
+	}
+	s := fmt.Sprintf("home %s under %v", h.ID, m.Vector())
+	if f := m.flows[k]; f != nil {
+		s += fmt.Sprintf(", local state %d established %t", f.state, f.established)
+	}
+	if p := m.away[k]; p != nil {
+		s += fmt.Sprintf(", at %s confirmed %t", p.target, p.confirmed)
+	}
+	if h.ID == m.config.Self {
+		s += fmt.Sprintf(", waits for %v, behind %t, held %d", m.Waiting(), m.behind(), len(m.held.packets))
+	}
+	return s
+}
+
+// explainMsg asks the goroutine that owns the model.
+type explainMsg struct {
+	key   flow.Key
+	reply chan string
+}
+
+// Explain says what this agent knows of a flow.
+func (r *Runtime) Explain(k flow.Key) string {
+	c := make(chan string, 1)
+	r.post(explainMsg{
+		key:   k,
+		reply: c,
+	})
+	select {
+	case s := <-c:
+		return s
+	case <-r.stop:
+		return "stopped"
+	}
+}
--- a/agent/flow_table.go
+++ b/agent/flow_table.go
@@ -7,34 +7,58 @@
 	"github.com/lentilshed/lentilshed/tcpstack"
 )
 
-// flowTable holds the open ends of local flows, so that they can be cut.
+// flowTable holds the ends of local flows, so that they can be cut.
 type flowTable struct {
-	mu    sync.Mutex
-	conns map[flow.Key]*tcpstack.Conn
+	mu   sync.Mutex
+	ends map[flow.Key]*flowEnd
+}
+
+// flowEnd is one local flow; its connection is nil during the handshake.
+type flowEnd struct {
+	conn *tcpstack.Conn
+	cut  bool
 }
 
 func newFlowTable() *flowTable {
 	return &flowTable{
-		conns: map[flow.Key]*tcpstack.Conn{},
+		ends: map[flow.Key]*flowEnd{},
 	}
 }
 
-func (t *flowTable) add(k flow.Key, c *tcpstack.Conn) {
+// open notes a flow whose handshake begins.
+func (t *flowTable) open(k flow.Key) *flowEnd {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := &flowEnd{}
+	t.ends[k] = e
+	return e
+}
+
+// attach adds the connection and reports whether the flow may go on.
+func (t *flowTable) attach(e *flowEnd, c *tcpstack.Conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.conns[k] = c
+	e.conn = c
+	return !e.cut
 }
 
-func (t *flowTable) remove(k flow.Key) {
+func (t *flowTable) remove(k flow.Key, e *flowEnd) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.conns, k)
+	if t.ends[k] == e {
+		delete(t.ends, k)
+	}
 }
 
-// end resets a flow towards its caller.
+// end resets a flow towards its caller, at once or after its handshake.
 func (t *flowTable) end(k flow.Key) {
 	t.mu.Lock()
-	c := t.conns[k]
+	e := t.ends[k]
+	var c *tcpstack.Conn
+	if e != nil {
+		e.cut = true
+		c = e.conn
+	}
 	t.mu.Unlock()
 	if c != nil {
 		c.Abort()
--- a/agent/handoff.go
+++ b/agent/handoff.go
@@ -45,7 +45,7 @@
 	m.self = t
 	wasOut := was != nil && was.Out
 	if t.Out && !wasOut {
-		m.endAll(&m.stats.EndedDomainOut)
+		m.abandonAll()
 	}
 	if !t.Out && wasOut && old != nil {
 		m.gate.TurnCold(now)
@@ -166,12 +166,13 @@
 	return true
 }
 
-// mayOpen reports whether a new flow may be placed: every peer has answered or
-// had time to.
+// mayOpen reports whether a new flow may be placed: every peer that is not
+// suspect has answered or had time to.
 func (m *Model) mayOpen(now time.Time) bool {
 	for i := range m.table.Targets {
-		p := m.watched(&m.table.Targets[i])
-		if p == nil || p.answered(m.table.Vector) {
+		t := &m.table.Targets[i]
+		p := m.watched(t)
+		if p == nil || t.Suspect || p.answered(m.table.Vector) {
 			continue
 		}
 		if now.Sub(m.adoptedAt) < syncTimeout || now.Sub(p.since) < syncTimeout {
@@ -181,6 +182,21 @@
 	return true
 }
 
+// Waiting lists the peers whose flows are not known under the table in force.
+func (m *Model) Waiting() []target.ID {
+	if m.table == nil {
+		return nil
+	}
+	var l []target.ID
+	for i := range m.table.Targets {
+		t := &m.table.Targets[i]
+		if p := m.watched(t); p != nil && !p.answered(m.table.Vector) {
+			l = append(l, t.ID)
+		}
+	}
+	return l
+}
+
 // watched returns the peer behind a target whose flows matter, or nil.
 func (m *Model) watched(t *service.Target) *peer {
 	if t.ID == m.config.Self || t.Out {
@@ -279,7 +295,7 @@
 		m.forgetFlowsAt(x.From)
 	}
 	for _, k := range x.Flows {
-		m.confirm(k, x.From)
+		m.confirm(now, k, x.From)
 	}
 	m.flushHeld(now)
 }
@@ -293,10 +309,11 @@
 	}
 }
 
+// register takes what a peer knows for certain.
 func (m *Model) register(now time.Time, x RegisterMsg) {
 	m.peer(x.From, now)
 	for _, k := range x.Opened {
-		m.confirm(k, x.From)
+		m.assert(k, x.From)
 	}
 	for _, k := range x.Ended {
 		if p := m.away[k]; p != nil && p.target == x.From {
@@ -305,16 +322,39 @@
 	}
 }
 
-// confirm records that a flow lives at a peer.
-func (m *Model) confirm(k flow.Key, at target.ID) {
+// assert records that the caller has completed a flow's handshake at a peer.
+func (m *Model) assert(k flow.Key, at target.ID) {
+	if f := m.flows[k]; f != nil && f.state != flowClosing {
+		if f.established {
+			m.stats.Violations++
+			return
+		}
+		m.abandon(k)
+	}
+	m.setAway(k, at)
+}
+
+// confirm records that a flow lives at a peer. When another target claims it
+// too, both are asked: only one can have an established flow.
+func (m *Model) confirm(now time.Time, k flow.Key, at target.ID) {
 	if f := m.flows[k]; f != nil && f.state != flowClosing {
 		m.emitRelease(at, k)
 		return
 	}
-	if p := m.away[k]; p != nil && p.confirmed && p.target != at {
-		m.emitRelease(at, k)
+	p := m.away[k]
+	if p == nil || !p.confirmed || p.target == at {
+		m.setAway(k, at)
 		return
 	}
+	m.emitRelease(p.target, k)
+	m.emitRelease(at, k)
+	m.away[k] = &placement{
+		target:   at,
+		disputed: now.Add(disputeTimeout),
+	}
+}
+
+func (m *Model) setAway(k flow.Key, at target.ID) {
 	delete(m.flows, k)
 	m.away[k] = &placement{
 		target:    at,
@@ -333,7 +373,7 @@
 // tells whether it admitted the flow.
 func (m *Model) forgetOffersTo(id target.ID) {
 	for k, a := range m.away {
-		if a.target == id && !a.confirmed {
+		if a.target == id && !a.confirmed && a.disputed.IsZero() {
 			delete(m.away, k)
 		}
 	}
--- a/agent/local_flow.go
+++ b/agent/local_flow.go
@@ -17,6 +17,9 @@
 // localFlow is a flow that the backend server of this agent holds.
 type localFlow struct {
 	state flowState
+	// established is set once the caller has completed the handshake. Only one
+	// target can have that, whatever the network repeated.
+	established bool
 	// expires ends a reservation or a closing flow.
 	expires time.Time
 }
--- a/agent/model.go
+++ b/agent/model.go
@@ -68,7 +68,9 @@
 		m.adopt(now, x)
 	case FencedMsg:
 		m.fenced = true
-		m.endAll(&m.stats.EndedDomainOut)
+		m.abandonAll()
+	case FlowEstablishedMsg:
+		m.flowEstablished(x)
 	case FlowEndedMsg:
 		m.flowEnded(now, x)
 	case StopMsg:
@@ -184,13 +186,30 @@
 	}
 }
 
-// endAll gives up every local flow and counts those still open.
-func (m *Model) endAll(counter *uint64) {
+func (m *Model) flowEstablished(x FlowEstablishedMsg) {
+	if f := m.flows[x.Key]; f != nil && f.state == flowOpen {
+		f.established = true
+	}
+}
+
+// abandonAll gives up every local flow at once: this target must not say later
+// that it holds them.
+func (m *Model) abandonAll() {
+	for k, f := range m.flows {
+		if f.state != flowClosing {
+			m.stats.EndedDomainOut++
+		}
+		m.abandon(k)
+	}
+}
+
+// endAll ends every local flow; the stack tells when it is done.
+func (m *Model) endAll() {
 	for k, f := range m.flows {
 		if f.state == flowClosing {
 			continue
 		}
-		*counter++
+		m.stats.EndedDeadline++
 		m.emit(EndFlowEffect{
 			Key: k,
 		})
@@ -204,7 +223,7 @@
 	m.reportLoad(now)
 	if !m.deadline.IsZero() && !now.Before(m.deadline) {
 		m.deadline = time.Time{}
-		m.endAll(&m.stats.EndedDeadline)
+		m.endAll()
 	}
 }
 
@@ -227,6 +246,11 @@
 	for id, keys := range ended {
 		m.sendRegister(id, nil, keys)
 	}
+	for k, p := range m.away {
+		if !p.disputed.IsZero() && now.After(p.disputed) {
+			delete(m.away, k)
+		}
+	}
 }
 
 // home returns the home of a flow under the table in force.
--- a/agent/msg.go
+++ b/agent/msg.go
@@ -50,7 +50,8 @@
 	Full   bool
 }
 
-// RegisterMsg adds and removes single flows that a peer holds.
+// RegisterMsg names flows that a peer holds for certain, and flows that it does
+// not hold.
 type RegisterMsg struct {
 	From   target.ID
 	Opened []flow.Key
@@ -71,7 +72,8 @@
 	Admitted bool
 }
 
-// ReleaseMsg takes an admission back that the home has no use for.
+// ReleaseMsg takes an admission back that the home has no use for. A target with
+// an established flow answers with a RegisterMsg.
 type ReleaseMsg struct {
 	From target.ID
 	Key  flow.Key
@@ -95,6 +97,12 @@
 	To target.ID
 }
 
+// FlowEstablishedMsg says that a caller has completed the handshake of a local
+// flow.
+type FlowEstablishedMsg struct {
+	Key flow.Key
+}
+
 // FlowEndedMsg says that both directions of a local flow have closed, or that
 // it never opened. Lost is set when the backend server dropped it.
 type FlowEndedMsg struct {
--- a/agent/network_test.go
+++ b/agent/network_test.go
@@ -36,10 +36,10 @@
 	ended  bool
 }
 
-// testEnd is the end of a flow that its target has yet to be told.
-type testEnd struct {
+// testEvent is news of the TCP stack that its target has yet to be told.
+type testEvent struct {
 	at  target.ID
-	key flow.Key
+	msg Msg
 }
 
 // testPacket is a packet under way.
@@ -67,7 +67,7 @@
 	resets  int
 	refused int
 	taken   map[target.ID]int
-	late    []testEnd
+	late    []testEvent
 	mix     mix
 }
 
@@ -147,17 +147,15 @@
 	for _, e := range append([]Effect(nil), m.Update(n.now, msg)...) {
 		n.effect(id, e)
 	}
-	n.endLate()
+	n.tellLate()
 	require.Zero(n.t, m.Stats().Violations, "invariant inside the model of %s", id)
 }
 
-func (n *network) endLate() {
+func (n *network) tellLate() {
 	l := n.late
 	n.late = nil
 	for _, e := range l {
-		n.update(e.at, FlowEndedMsg{
-			Key: e.key,
-		})
+		n.update(e.at, e.msg)
 	}
 }
 
@@ -244,15 +242,23 @@
 	if i.Initial() && f.ended {
 		// A first packet that comes after its flow ended opens a flow that the
 		// caller's reset ends at once.
-		n.late = append(n.late, testEnd{
-			at:  id,
-			key: i.Key,
+		n.late = append(n.late, testEvent{
+			at: id,
+			msg: FlowEndedMsg{
+				Key: i.Key,
+			},
 		})
 		return
 	}
 	if i.Initial() && !f.live {
 		f.live = true
 		f.holder = id
+		n.late = append(n.late, testEvent{
+			at: id,
+			msg: FlowEstablishedMsg{
+				Key: i.Key,
+			},
+		})
 		return
 	}
 	// A late packet may still reach the stack of a flow that ended there.
--- a/agent/open.go
+++ b/agent/open.go
@@ -95,7 +95,7 @@
 func (m *Model) reserved(now time.Time, x ReservedMsg) {
 	p := m.away[x.Key]
 	if p == nil || p.confirmed || p.target != x.From {
-		m.lateReserved(x, p)
+		m.lateReserved(now, x, p)
 		return
 	}
 	if !x.Admitted {
@@ -115,14 +115,14 @@
 }
 
 // lateReserved takes the answer to an offer that was given up.
-func (m *Model) lateReserved(x ReservedMsg, p *placement) {
+func (m *Model) lateReserved(now time.Time, x ReservedMsg, p *placement) {
 	_, here := m.flows[x.Key]
 	h, ok := m.home(x.Key)
 	mine := ok && h.ID == m.config.Self
 	switch {
 	case !x.Admitted || !mine:
 	case p == nil && !here:
-		m.confirm(x.Key, x.From)
+		m.confirm(now, x.Key, x.From)
 	case p == nil || p.target != x.From:
 		m.emitRelease(x.From, x.Key)
 	}
@@ -135,19 +135,28 @@
 	})
 }
 
-// release ends a reservation. A flow that has come already stays; two targets
-// then hold it, which must not happen.
+// release drops a flow that another target may hold, unless the caller has
+// completed the handshake here.
 func (m *Model) release(x ReleaseMsg) {
 	f := m.flows[x.Key]
-	if f == nil || f.state == flowClosing {
-		return
+	switch {
+	case f == nil || f.state == flowClosing:
+	case f.established:
+		m.sendRegister(x.From, []flow.Key{x.Key}, nil)
+	default:
+		m.abandon(x.Key)
 	}
-	if f.state == flowOpen {
-		m.stats.Violations++
-		return
+}
+
+// abandon forgets a local flow at once and ends it.
+func (m *Model) abandon(k flow.Key) {
+	if f := m.flows[k]; f != nil && f.state != flowClosing {
+		m.gate.Release()
 	}
-	m.gate.Release()
-	delete(m.flows, x.Key)
+	delete(m.flows, k)
+	m.emit(EndFlowEffect{
+		Key: k,
+	})
 }
 
 // retry offers a flow to another target after a refusal, unless its home or the
@@ -237,7 +246,7 @@
 // candidate returns the peer behind a target that takes new flows and has not
 // been asked yet, or nil.
 func (m *Model) candidate(t *service.Target, p *placement) *peer {
-	if t.ID == m.config.Self || !t.Homes || t.Out {
+	if t.ID == m.config.Self || !t.Homes || t.Suspect || t.Out {
 		return nil
 	}
 	if p != nil && p.tried(t.ID) {
--- a/agent/parent.go
+++ b/agent/parent.go
@@ -9,7 +9,7 @@
 )
 
 // connectTimeout is how long one balancer is tried before the next.
-const connectTimeout = 700 * time.Millisecond
+const connectTimeout = 300 * time.Millisecond
 
 // parent chooses the balancer that this agent announces itself to. Each agent
 // has its own order, so that the agents of a lost balancer spread out.
--- a/agent/placement.go
+++ b/agent/placement.go
@@ -1,6 +1,10 @@
 package agent
 
-import "github.com/lentilshed/lentilshed/target"
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/target"
+)
 
 // placement records that a flow of one of this agent's buckets lives at a peer,
 // or is offered to one. It is soft state: the peer repeats it whenever the home
@@ -12,6 +16,9 @@
 	confirmed bool
 	first     PacketMsg
 	asked     []target.ID
+	// disputed ends the wait for the one of two targets that holds the flow for
+	// certain; zero while there is no dispute.
+	disputed time.Time
 }
 
 // ask notes that the flow is offered to a target.
--- a/agent/runtime.go
+++ b/agent/runtime.go
@@ -103,6 +103,8 @@
 	Joined   bool
 	Restarts uint32
 	Stats    Stats
+	// Waiting lists peers whose flows are not known yet.
+	Waiting []target.ID
 }
 
 // NewRuntime opens the sockets and starts all duties.
--- a/agent/splice.go
+++ b/agent/splice.go
@@ -40,27 +40,41 @@
 	},
 }
 
-// accept opens the backend server's side first, so that a caller is answered
-// only when there is somebody to serve it.
+// accept serves one new flow from its handshake to its end.
 func (r *Runtime) accept(q *tcpstack.Request) {
 	k := flow.NewKey(q.From)
+	e := r.flows.open(k)
+	lost := r.serve(k, e, q)
+	r.flows.remove(k, e)
+	r.post(FlowEndedMsg{
+		Key:  k,
+		Lost: lost,
+	})
+}
+
+// serve opens the backend server's side first, so that a caller is answered
+// only when there is somebody to serve it. It reports whether the backend
+// server dropped the flow.
+func (r *Runtime) serve(k flow.Key, e *flowEnd, q *tcpstack.Request) bool {
 	b, err := net.DialTimeout("tcp", r.config.Backend, dialTimeout)
 	if err != nil {
 		q.Refuse()
 		r.post(RestartMsg{})
-		r.post(FlowEndedMsg{
-			Key: k,
-		})
-		return
+		return false
 	}
 	c, err := q.Accept()
 	if err != nil {
 		_ = b.Close()
-		r.post(FlowEndedMsg{
-			Key: k,
-		})
-		return
+		return false
 	}
+	if !r.flows.attach(e, c) {
+		c.Abort()
+		_ = b.Close()
+		return false
+	}
+	r.post(FlowEstablishedMsg{
+		Key: k,
+	})
 	t, _ := b.(*net.TCPConn)
 	keepBackendAlive(t)
 	s := &splice{
@@ -68,13 +82,8 @@
 		backend: t,
 		answer:  r.answered,
 	}
-	r.flows.add(k, c)
 	s.run()
-	r.flows.remove(k)
-	r.post(FlowEndedMsg{
-		Key:  k,
-		Lost: s.lost.Load(),
-	})
+	return s.lost.Load()
 }
 
 // run copies both ways until both sides have closed.
--- a/balancer/config.go
+++ b/balancer/config.go
@@ -13,8 +13,13 @@
 	pingPeriod = time.Second
 	// pingTimeout is the silence after which the registrar gives a balancer up.
 	pingTimeout = 3 * time.Second
-	// announceTimeout is the silence after which a target has lapsed.
-	announceTimeout = 2 * time.Second
+	// suspectTimeout is the silence after which a target is home of nothing.
+	suspectTimeout = time.Second
+	// closedGrace is what is left of it when the target's connection has closed.
+	closedGrace = 400 * time.Millisecond
+	// announceTimeout is the silence after which a target has lapsed: its flows
+	// are taken for dead and their callers are reset.
+	announceTimeout = 4 * time.Second
 	// resendPeriod is the least time between two repeats of a lost delta.
 	resendPeriod = time.Second
 	// isolationTimeout is the silence after which a balancer without peers
--- a/balancer/link.go
+++ b/balancer/link.go
@@ -38,6 +38,7 @@
 	revision uint64
 	version  uint64
 	heardAt  time.Time
+	suspect  bool
 }
 
 // pinger is one balancer that the registrar hears.
--- a/balancer/listen.go
+++ b/balancer/listen.go
@@ -55,16 +55,42 @@
 	m.pushTo(id, k)
 }
 
+// tickListeners reports targets whose heartbeats stop: first as suspect, so
+// that their buckets get another home, later as lapsed.
 func (m *Model) tickListeners(now time.Time) {
 	for id, l := range m.listeners {
-		if now.Sub(l.heardAt) > announceTimeout {
+		silence := now.Sub(l.heardAt)
+		switch {
+		case silence > announceTimeout:
 			m.stats.Lapses++
 			m.claim(l.member, true)
 			delete(m.listeners, id)
+		case silence > suspectTimeout && !l.suspect:
+			l.suspect = true
+			m.claim(suspectOf(l.member), false)
 		}
 	}
 }
 
+// agentClosed shortens the time until the agents of a closed connection are
+// suspect.
+func (m *Model) agentClosed(now time.Time, c ConnID) {
+	for _, l := range m.listeners {
+		if l.conn == c {
+			early := now.Add(closedGrace - suspectTimeout)
+			if l.heardAt.After(early) {
+				l.heardAt = early
+			}
+		}
+	}
+}
+
+func suspectOf(x *controlpb.Member) *controlpb.Member {
+	c := proto.CloneOf(x)
+	c.State = controlpb.MemberState_MEMBER_STATE_SUSPECT
+	return c
+}
+
 // claim tells the registrar about a member.
 func (m *Model) claim(x *controlpb.Member, lapsed bool) {
 	c := &controlpb.Claim{
--- a/balancer/model.go
+++ b/balancer/model.go
@@ -27,18 +27,21 @@
 	listeners map[string]*listener
 	lease     *lease.Model
 	registrar *roster.Registrar
-	pingers   map[string]*pinger
-	beat      *controlpb.Beat
-	sequence  uint64
-	beatAt    time.Time
-	beatenAt  time.Time
-	pingedAt  time.Time
-	provenAt  time.Time
-	watching  bool
-	stopped   bool
-	dialed    []string
-	stats     Stats
-	effects   []Effect
+	// lastTerm is the latest term in which this balancer was the registrar. A
+	// term is never served twice: its versions would not be unique.
+	lastTerm lease.Term
+	pingers  map[string]*pinger
+	beat     *controlpb.Beat
+	sequence uint64
+	beatAt   time.Time
+	beatenAt time.Time
+	pingedAt time.Time
+	provenAt time.Time
+	watching bool
+	stopped  bool
+	dialed   []string
+	stats    Stats
+	effects  []Effect
 }
 
 // Stats counts what a model has seen.
--- a/balancer/registrar.go
+++ b/balancer/registrar.go
@@ -23,7 +23,7 @@
 		m.emit(e)
 	}
 	switch {
-	case m.lease.Holding() && m.registrar == nil:
+	case m.lease.Holding() && m.registrar == nil && m.lease.Term() > m.lastTerm:
 		m.becomeRegistrar(now)
 	case !m.lease.Holding() && m.registrar != nil:
 		m.registrar = nil
@@ -43,6 +43,7 @@
 
 func (m *Model) becomeRegistrar(now time.Time) {
 	m.stats.Terms++
+	m.lastTerm = m.lease.Term()
 	m.registrar = roster.NewRegistrar(m.roster, uint32(m.lease.Term()), now)
 	m.rebuild(m.serviceNames())
 	m.sequence = 0
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -37,6 +37,7 @@
 func (m *Model) close(now time.Time, x CloseMsg) {
 	l := m.links[x.Conn]
 	delete(m.links, x.Conn)
+	m.agentClosed(now, x.Conn)
 	if l == nil || !l.balancer() || m.registrar == nil {
 		return
 	}
--- a/demo/run.go
+++ b/demo/run.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/intent"
 	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/standin/caller"
@@ -142,11 +146,28 @@
 }
 
 func (r *Run) ended(e caller.End) {
+	if e.Outcome == caller.OutcomeSilent {
+		r.explain(e)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ends = append(r.ends, e)
 }
 
+// explain shows what the agents of a service know of a flow that fell silent.
+func (r *Run) explain(e caller.End) {
+	for _, g := range r.regions {
+		g.mu.Lock()
+		agents := maps.Clone(g.agents)
+		g.mu.Unlock()
+		for _, n := range slices.Sorted(maps.Keys(agents)) {
+			if strings.HasPrefix(n, e.Service+"-") {
+				r.say("silent %s at %s: %s knows %s", e.From, e.Target, n, agents[n].Explain(flow.NewKey(e.From)))
+			}
+		}
+	}
+}
+
 func (r *Run) say(format string, values ...any) {
 	if r.options.Progress == nil {
 		return
--- a/demo/shift.go
+++ b/demo/shift.go
@@ -58,8 +58,9 @@
 			for _, t := range s.Targets {
 				a := g.agents[t.Name].State()
 				b := g.backends[t.Name]
-				r.say("%-14s %-16s holds %4d, bears %4d, limit %4d, learned %4d, away %4d, restarts %d",
-					t.Name, t.Domain, b.Active(), b.Bears(), a.Limit, a.Capacity, a.Away, a.Restarts)
+				r.say("%-14s %-16s holds %4d, bears %4d, limit %4d, learned %4d, away %4d, restarts %d, violations %d, unknown reset %d, waits for %v, dropped %v",
+					t.Name, t.Domain, b.Active(), b.Bears(), a.Limit, a.Capacity, a.Away, a.Restarts,
+					a.Stats.Violations, a.Stats.ResetUnknown, a.Waiting, a.Stats.Dropped)
 			}
 		}
 	}
--- a/operator/show.go
+++ b/operator/show.go
@@ -103,7 +103,7 @@
 		return "out"
 	case d.Targets[m.GetTarget()].GetDraining(), m.GetState() == controlpb.MemberState_MEMBER_STATE_LEAVING:
 		return stateDraining
-	case v == nil:
+	case v == nil, m.GetState() == controlpb.MemberState_MEMBER_STATE_SUSPECT:
 		return "unheard"
 	case v.GetLimit() > 0 && v.GetActive() >= v.GetLimit():
 		return "full"
--- a/roster/registrar.go
+++ b/roster/registrar.go
@@ -59,6 +59,9 @@
 	if m.GetState() == controlpb.MemberState_MEMBER_STATE_GONE {
 		return g.remove(m.GetTarget(), m.GetIncarnation(), m.GetCrashed())
 	}
+	if m.GetState() == controlpb.MemberState_MEMBER_STATE_SUSPECT && !g.claimedBy(m.GetTarget(), balancer) {
+		return false
+	}
 	g.claims[m.GetTarget()] = &claim{
 		balancer: balancer,
 	}
@@ -72,8 +75,7 @@
 // Lapse takes the news that a balancer no longer hears a member. It reports
 // whether the roster changed.
 func (g *Registrar) Lapse(m *controlpb.Member, balancer string) bool {
-	c := g.claims[m.GetTarget()]
-	if c == nil || c.balancer != balancer {
+	if !g.claimedBy(m.GetTarget(), balancer) {
 		return false
 	}
 	return g.remove(m.GetTarget(), m.GetIncarnation(), true)
@@ -103,6 +105,12 @@
 	return changed
 }
 
+// claimedBy reports whether a balancer was the last to hear a member.
+func (g *Registrar) claimedBy(target, balancer string) bool {
+	c := g.claims[target]
+	return c != nil && c.balancer == balancer
+}
+
 func (g *Registrar) remove(id string, incarnation uint64, crashed bool) bool {
 	old := g.roster.Member(id)
 	if old == nil || old.GetState() == controlpb.MemberState_MEMBER_STATE_GONE || old.GetIncarnation() != incarnation {
--- a/service/build.go
+++ b/service/build.go
@@ -53,6 +53,7 @@
 		Control:     m.GetControlAddress(),
 		Weight:      m.GetWeight(),
 		Homes:       joined && !drained && spans(s, m.GetDomain()),
+		Suspect:     m.GetState() == controlpb.MemberState_MEMBER_STATE_SUSPECT,
 		Out:         d.Out(m.GetDomain()),
 	}, true
 }
--- a/service/target.go
+++ b/service/target.go
@@ -16,6 +16,9 @@
 	Weight      uint32
 	// Homes is false for a target that gets no bucket: leaving or drained.
 	Homes bool
+	// Suspect is true for a target that missed heartbeats. New flows do not wait
+	// for what it holds.
+	Suspect bool
 	// Out is true in a failure domain that the operators took out. No packet
 	// may be sent to it.
 	Out bool
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -46,6 +46,7 @@
 // End is what became of one flow.
 type End struct {
 	Service string
+	From    netip.AddrPort
 	// Target is the target that answered, empty before the first answer.
 	Target  string
 	Outcome Outcome
@@ -127,7 +128,8 @@
 	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
 	defer cancel()
 	id := c.next.Add(1)
-	n, err := c.config.Dial(ctx, c.source(id), to)
+	e.From = c.source(id)
+	n, err := c.config.Dial(ctx, e.From, to)
 	if err != nil {
 		e.Outcome = dialOutcome(c.ctx, e.Opened)
 		return e
