--- a/cmd/lentilctl/root.go
+++ b/cmd/lentilctl/root.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/intent"
 	"github.com/lentilshed/lentilshed/operator"
 	"github.com/lentilshed/lentilshed/platform"
@@ -138,7 +139,7 @@
 			if len(args) == 1 {
 				v, err := strconv.ParseUint(args[0], 10, 64)
 				if err != nil {
-					return errors.Mark(errors.Newf("REVISION: %q is not a number", args[0]), errUsage)
+					return failure.Mark(errors.Newf("REVISION: %q is not a number", args[0]), errUsage)
 				}
 				n = v
 			}
@@ -167,13 +168,13 @@
 
 func (c *command) session() (*operator.Session, error) {
 	if c.platform == "" {
-		return nil, errors.Mark(errors.New("--platform: is missing, and LENTILSHED_PLATFORM is not set"), errUsage)
+		return nil, failure.Mark(errors.New("--platform: is missing, and LENTILSHED_PLATFORM is not set"), errUsage)
 	}
 	if c.region == "" {
-		return nil, errors.Mark(errors.New("--region: is missing, and LENTILSHED_REGION is not set"), errUsage)
+		return nil, failure.Mark(errors.New("--region: is missing, and LENTILSHED_REGION is not set"), errUsage)
 	}
 	if c.output != string(operator.OutputText) && c.output != string(operator.OutputJSON) {
-		return nil, errors.Mark(errors.Newf("--output: %q is neither text nor json", c.output), errUsage)
+		return nil, failure.Mark(errors.Newf("--output: %q is neither text nor json", c.output), errUsage)
 	}
 	return operator.New(operator.Config{
 		Client: platform.New(platform.Config{
--- a/cmd/lentilshed/serve.go
+++ b/cmd/lentilshed/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/settings"
 	"github.com/lentilshed/lentilshed/telemetry"
 	"github.com/spf13/cobra"
@@ -74,7 +75,7 @@
 		return err
 	}
 	if (role == roleBalancer) != (f.Balancer != nil) {
-		return errors.Mark(errors.Newf("%s: %s: section is missing", path, role), settings.ErrInvalid)
+		return failure.Mark(errors.Newf("%s: %s: section is missing", path, role), settings.ErrInvalid)
 	}
 	p, err := newProcess(f, role, errOut)
 	if err != nil {
--- a/declaration/declaration.go
+++ b/declaration/declaration.go
@@ -15,6 +15,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/intent"
 )
 
@@ -212,5 +213,5 @@
 }
 
 func invalid(where, field, reason string) error {
-	return errors.Mark(errors.Newf("%s: %s: %s", where, field, reason), ErrInvalid)
+	return failure.Mark(errors.Newf("%s: %s: %s", where, field, reason), ErrInvalid)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/lentilshed/lentilshed/balancer"
 	"github.com/lentilshed/lentilshed/control"
 	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/lease"
 	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/roster"
@@ -69,7 +70,7 @@
 	}
 	first, err := ask(ctx, r.Address)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "ask %s at %s", r.Holder, r.Address), ErrNoRegistrar)
+		return nil, failure.Mark(errors.Wrapf(err, "ask %s at %s", r.Holder, r.Address), ErrNoRegistrar)
 	}
 	s := &Snapshot{
 		Registrar: first.GetRegistrar(),
--- a/intent/store.go
+++ b/intent/store.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/platform"
 	"google.golang.org/protobuf/encoding/protojson"
 )
@@ -104,10 +105,10 @@
 			return h, err
 		}
 		if i+1 >= writeAttempts {
-			return Held{}, errors.Mark(err, ErrUnknown)
+			return Held{}, failure.Mark(err, ErrUnknown)
 		}
 		if pause(ctx, writePause) != nil {
-			return Held{}, errors.Mark(err, ErrUnknown)
+			return Held{}, failure.Mark(err, ErrUnknown)
 		}
 	}
 }
--- /dev/null
+++ b/intent/store_test.go
@@ -0,0 +1,170 @@
+package intent
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"github.com/stretchr/testify/require"
+)
+
+func newTestStore(t *testing.T) (*Store, *objectstore.Server) {
+	t.Helper()
+	s := objectstore.New(1)
+	w := httptest.NewServer(s)
+	t.Cleanup(w.Close)
+	c := platform.New(platform.Config{
+		BaseURL: w.URL,
+		Timeout: 2 * time.Second,
+	})
+	return NewStore(c, "bayern"), s
+}
+
+func operation(id string) *controlpb.Operation {
+	return &controlpb.Operation{
+		Id:      id,
+		Author:  "anna",
+		Summary: "take out " + id,
+	}
+}
+
+func takeOut(name string) func(*Edit) error {
+	return func(e *Edit) error {
+		e.SetDomain(name, true, time.Unix(1_800_000_000, 0))
+		return nil
+	}
+}
+
+func TestLostRaceNamesTheOther(t *testing.T) {
+	s, _ := newTestStore(t)
+	seen, err := s.Read(t.Context())
+	require.NoError(t, err)
+	_, err = s.Change(t.Context(), seen, operation("nuernberg"), takeOut("nuernberg"))
+	require.NoError(t, err)
+	_, err = s.Change(t.Context(), seen, operation("regensburg"), takeOut("regensburg"))
+	require.ErrorIs(t, err, ErrLostRace)
+	require.ErrorContains(t, err, "anna")
+	require.ErrorContains(t, err, "take out nuernberg")
+	h, err := s.Read(t.Context())
+	require.NoError(t, err)
+	require.True(t, h.Document.Out("nuernberg"))
+	require.False(t, h.Document.Out("regensburg"))
+}
+
+// TestLostAnswerIsRecognised loses every answer to a write: each change is
+// accepted once all the same.
+func TestLostAnswerIsRecognised(t *testing.T) {
+	s, p := newTestStore(t)
+	p.SetFaults(objectstore.Faults{
+		LostAnswers: 1,
+	})
+	for i := range 5 {
+		seen, err := s.Read(t.Context())
+		require.NoError(t, err)
+		id := fmt.Sprint("d", i)
+		h, err := s.Change(t.Context(), seen, operation(id), takeOut(id))
+		require.NoError(t, err)
+		require.Equal(t, uint64(i+1), h.Document.Revision)
+	}
+}
+
+func TestUnknownOutcomeIsSaid(t *testing.T) {
+	s, p := newTestStore(t)
+	seen, err := s.Read(t.Context())
+	require.NoError(t, err)
+	p.SetFaults(objectstore.Faults{
+		Down: true,
+	})
+	_, err = s.Change(t.Context(), seen, operation("d"), takeOut("d"))
+	require.ErrorIs(t, err, ErrUnknown)
+}
+
+// TestRacingOperators lets operators change the document at once, through lost
+// answers and refusals: every accepted change is in the history exactly once.
+func TestRacingOperators(t *testing.T) {
+	const operators = 8
+	const each = 40
+	s, p := newTestStore(t)
+	p.SetFaults(objectstore.Faults{
+		LostAnswers: 0.2,
+		Throttled:   0.05,
+	})
+	var mu sync.Mutex
+	accepted := map[string]uint64{}
+	var w sync.WaitGroup
+	for o := range operators {
+		w.Add(1)
+		go func() {
+			defer w.Done()
+			x := rand.New(rand.NewPCG(uint64(o), 8))
+			for i := range each {
+				id := fmt.Sprintf("%d-%d", o, i)
+				r, ok := changeOnce(t.Context(), s, id, fmt.Sprint("d", x.IntN(4)))
+				if ok {
+					mu.Lock()
+					accepted[id] = r
+					mu.Unlock()
+				}
+			}
+		}()
+	}
+	w.Wait()
+	p.SetFaults(objectstore.Faults{})
+	h, err := s.Read(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, uint64(len(accepted)), h.Document.Revision, "revisions count accepted changes")
+	seen := map[uint64]bool{}
+	for id, r := range accepted {
+		require.False(t, seen[r], "two changes at revision %d", r)
+		seen[r] = true
+		if o := h.Document.Operation(id); o != nil {
+			require.Equal(t, r, o.GetRevision())
+		}
+	}
+}
+
+// changeOnce tries until the change is accepted or lost its race.
+func changeOnce(ctx context.Context, s *Store, id, domain string) (uint64, bool) {
+	for {
+		seen, err := s.Read(ctx)
+		if err != nil {
+			continue
+		}
+		h, err := s.Change(ctx, seen, operation(id), takeOut(domain))
+		if err == nil {
+			return h.Document.Operation(id).GetRevision(), true
+		}
+		if errors.Is(err, ErrLostRace) {
+			return 0, false
+		}
+	}
+}
+
+func TestDeltasNeverGoBack(t *testing.T) {
+	d := NewDocument("bayern")
+	e := NewEdit(d)
+	e.SetDomain("a", true, time.Now())
+	one := e.Done(operation("1"))
+	e = NewEdit(one)
+	e.SetDomain("a", false, time.Now())
+	two := e.Done(operation("2"))
+
+	f := NewDocument("bayern")
+	changed, err := f.Merge(two.Since(0))
+	require.NoError(t, err)
+	require.True(t, changed)
+	changed, err = f.Merge(one.Since(0))
+	require.NoError(t, err)
+	require.False(t, changed)
+	require.False(t, f.Out("a"))
+	_, err = NewDocument("bayern").Merge(two.Since(1))
+	require.ErrorIs(t, err, ErrGap)
+}
--- a/operator/change.go
+++ b/operator/change.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/declaration"
+	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/fleet"
 	"github.com/lentilshed/lentilshed/intent"
 	"github.com/lentilshed/lentilshed/query"
@@ -117,7 +118,7 @@
 		d.Warmup = value
 	}
 	if err != nil {
-		return errors.Mark(errors.Newf("set: %s: %q is not a number", field, value), declaration.ErrInvalid)
+		return failure.Mark(errors.Newf("set: %s: %q is not a number", field, value), declaration.ErrInvalid)
 	}
 	return nil
 }
@@ -154,9 +155,9 @@
 
 func unknown(kind, name string, known []string) error {
 	if near := query.Nearest(name, known); near != "" {
-		return errors.Mark(errors.Newf("unknown %s %q; did you mean %q?", kind, name, near), ErrUnknownName)
+		return failure.Mark(errors.Newf("unknown %s %q; did you mean %q?", kind, name, near), ErrUnknownName)
 	}
-	return errors.Mark(errors.Newf("unknown %s %q", kind, name), ErrUnknownName)
+	return failure.Mark(errors.Newf("unknown %s %q", kind, name), ErrUnknownName)
 }
 
 func keys[V any](m map[string]V) []string {
--- a/query/statement.go
+++ b/query/statement.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
 	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/failure"
 )
 
 // ErrSyntax is returned for a statement that cannot be read. The message has
@@ -77,7 +78,7 @@
 	}
 	var p participle.Error
 	if !errors.As(err, &p) {
-		return nil, errors.Mark(err, ErrSyntax)
+		return nil, failure.Mark(err, ErrSyntax)
 	}
 	return nil, syntaxError(line, p)
 }
@@ -89,7 +90,7 @@
 	}
 	t, err := time.ParseDuration(d.Deadline)
 	if err != nil || t <= 0 {
-		return 0, errors.Mark(errors.Newf("within: %q is not a time like 30m", d.Deadline), ErrSyntax)
+		return 0, failure.Mark(errors.Newf("within: %q is not a time like 30m", d.Deadline), ErrSyntax)
 	}
 	return t, nil
 }
@@ -108,10 +109,10 @@
 	column := min(max(p.Position().Offset, 0), len(line))
 	word, _, _ := strings.Cut(strings.TrimLeft(line[column:], " "), " ")
 	if word == "" {
-		return errors.Mark(errors.Newf("column %d: the statement ends too soon; try: help", column+1), ErrSyntax)
+		return failure.Mark(errors.Newf("column %d: the statement ends too soon; try: help", column+1), ErrSyntax)
 	}
 	if near := Nearest(word, Words()); near != "" && near != word {
-		return errors.Mark(errors.Newf("column %d: unknown word %q; did you mean %q?", column+1, word, near), ErrSyntax)
+		return failure.Mark(errors.Newf("column %d: unknown word %q; did you mean %q?", column+1, word, near), ErrSyntax)
 	}
-	return errors.Mark(errors.Newf("column %d: unexpected %q; try: help", column+1, word), ErrSyntax)
+	return failure.Mark(errors.Newf("column %d: unexpected %q; try: help", column+1, word), ErrSyntax)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -12,6 +13,7 @@
 
 	"github.com/BurntSushi/toml"
 	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/failure"
 )
 
 // ErrInvalid is returned for settings that cannot be used. The message is one
@@ -124,7 +126,7 @@
 func syntaxError(name string, err error) error {
 	var p toml.ParseError
 	if errors.As(err, &p) {
-		return invalid(name, p.LastKey, fmt.Sprintf("line %d: %s", p.Position.Line, oneLine(p.Message)))
+		return invalid(name, cmp.Or(p.LastKey, "file"), fmt.Sprintf("line %d: %s", p.Position.Line, oneLine(p.Message)))
 	}
 	return invalid(name, "file", oneLine(err.Error()))
 }
@@ -134,7 +136,7 @@
 }
 
 func invalid(file, key, reason string) error {
-	return errors.Mark(errors.Newf("%s: %s: %s", file, key, reason), ErrInvalid)
+	return failure.Mark(errors.Newf("%s: %s: %s", file, key, reason), ErrInvalid)
 }
 
 // checker keeps the first problem of a file.
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -38,8 +38,11 @@
 }
 
 const (
-	dialTimeout   = 4 * time.Second
-	answerTimeout = 6 * time.Second
+	dialTimeout = 4 * time.Second
+	// answerTimeout is above what TCP takes to repeat a packet that was lost
+	// several times in a row: two stacks alone need over 6 s for some flows when
+	// one packet in 33 is lost.
+	answerTimeout = 15 * time.Second
 	refusedWithin = 3 * time.Second
 )
 
