Run the system as processes behind a proxy that fails

Cause: only the demo, in one process, had played failures.

Change: a module of integration tests that builds both programs, starts two balancers and four agents, and kills, freezes, drains, replaces and cuts them off while 100 to 200 flows are open. Heartbeats between announcements shrink to the load; load reports are paced and go to at most 16 peers.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -6,8 +6,24 @@
 	"github.com/lentilshed/lentilshed/controlpb"
 )
 
-// announcePeriod is the time between two heartbeats to the balancer.
-const announcePeriod = 300 * time.Millisecond
+const (
+	// pulsePeriod is the time between two heartbeats to the balancer.
+	pulsePeriod = 300 * time.Millisecond
+	// announcePeriod is the longest time between two whole announcements.
+	announcePeriod = 10 * time.Second
+	// changePeriod is the least time between two announcements of new figures.
+	changePeriod = time.Second
+)
+
+// said is what the balancer was last told.
+type said struct {
+	at       time.Time
+	pulseAt  time.Time
+	revision uint64
+	version  uint64
+	weight   uint32
+	cold     bool
+}
 
 // tick runs the model's timeouts, keeps the uplink and sends the heartbeat.
 func (r *Runtime) tick() {
@@ -17,19 +33,55 @@
 		r.config.Log.Info().Str("balancer", a).Msg("announcing to another balancer")
 		r.uplink.Set([]string{a})
 	}
-	if now.Sub(r.said) >= announcePeriod {
+	r.publishState()
+	r.pulse(now)
+}
+
+// pulse sends the heartbeat when it is due: a whole announcement when anything
+// in it has changed, else the load alone.
+func (r *Runtime) pulse(now time.Time) {
+	if r.up == nil || now.Sub(r.said.pulseAt) < pulsePeriod {
+		return
+	}
+	s := r.State()
+	n := r.sayNow(s)
+	n.at = r.said.at
+	n.pulseAt = r.said.pulseAt
+	old := now.Sub(r.said.at) >= announcePeriod
+	changed := n != r.said && now.Sub(r.said.at) >= changePeriod
+	if old || changed {
 		r.announce()
+		return
+	}
+	r.said.pulseAt = now
+	r.up.Send(&controlpb.Envelope{
+		Body: &controlpb.Envelope_Pulse{
+			Pulse: &controlpb.Pulse{
+				Active: s.Active,
+				Limit:  s.Limit,
+			},
+		},
+	})
+}
+
+func (r *Runtime) sayNow(s State) said {
+	return said{
+		revision: s.Revision,
+		version:  s.Version,
+		weight:   r.weight(),
+		cold:     s.Cold,
 	}
-	r.publishState()
 }
 
-// announce sends the heartbeat, with everything that the roster holds.
+// announce tells the balancer everything that the roster holds.
 func (r *Runtime) announce() {
-	r.said = r.config.Now()
 	if r.up == nil {
 		return
 	}
 	s := r.State()
+	r.said = r.sayNow(s)
+	r.said.at = r.config.Now()
+	r.said.pulseAt = r.said.at
 	r.up.Send(&controlpb.Envelope{
 		Body: &controlpb.Envelope_Announce{
 			Announce: &controlpb.Announce{
--- a/agent/config.go
+++ b/agent/config.go
@@ -32,8 +32,10 @@
 	// spillSlack is how far above the mean use of the service a home still
 	// takes new flows itself.
 	spillSlack = 0.02
-	// loadPeriod is the longest time between two load reports to peers.
-	loadPeriod = time.Second
+	// loadPeriod is the longest time between two load reports to peers, and
+	// loadPause the least.
+	loadPeriod = 5 * time.Second
+	loadPause  = 200 * time.Millisecond
 	// loadStep is the change of use that is reported at once.
 	loadStep = 0.02
 )
--- a/agent/load.go
+++ b/agent/load.go
@@ -16,8 +16,9 @@
 func (m *Model) reportLoad(now time.Time) {
 	l := m.limit(now)
 	u := m.use(now)
-	changed := math.Abs(u-m.load.use) >= loadStep || l != m.load.limit
-	if !changed && now.Sub(m.load.at) < loadPeriod {
+	changed := math.Abs(u-m.load.use) >= loadStep || stepped(m.load.limit, l)
+	since := now.Sub(m.load.at)
+	if since < loadPause || (!changed && since < loadPeriod) {
 		return
 	}
 	m.load = loadReport{
@@ -31,6 +32,14 @@
 	})
 }
 
+// stepped reports whether a limit changed enough to be told.
+func stepped(old, now uint32) bool {
+	if (old == 0) != (now == 0) {
+		return true
+	}
+	return math.Abs(float64(now)-float64(old)) >= loadStep*float64(old)
+}
+
 func (m *Model) peerLoad(now time.Time, x LoadMsg) {
 	p := m.peer(x.From, now)
 	p.active = x.Active
--- a/agent/perform.go
+++ b/agent/perform.go
@@ -139,6 +139,10 @@
 	})
 }
 
+// loadFanout bounds the peers that one report goes to. In a larger service each
+// report reaches others, as the order of a map is random.
+const loadFanout = 16
+
 func (r *Runtime) sendLoad(x LoadEffect) {
 	e := &controlpb.Envelope{
 		Body: &controlpb.Envelope_Load{
@@ -150,7 +154,11 @@
 			},
 		},
 	}
+	n := 0
 	for id := range r.dialed {
+		if n++; n > loadFanout {
+			return
+		}
 		r.toPeer(id, e)
 	}
 }
--- a/agent/runtime.go
+++ b/agent/runtime.go
@@ -87,7 +87,7 @@
 	state    atomic.Pointer[State]
 	leaving  bool
 	gone     bool
-	said     time.Time
+	said     said
 }
 
 // State is a snapshot of a running agent for health, metrics and reports.
--- a/balancer/config.go
+++ b/balancer/config.go
@@ -25,6 +25,8 @@
 	// isolationTimeout is the silence after which a balancer without peers
 	// stops sending: it can no longer know which failure domains are out.
 	isolationTimeout = 4 * time.Second
+	// startGrace is the time that a new balancer listens before it contends.
+	startGrace = 500 * time.Millisecond
 	// contendStep delays contenders for the lease by their rank.
 	contendStep = 300 * time.Millisecond
 	// deputies is the number of balancers besides the registrar that watch the
--- a/balancer/listen.go
+++ b/balancer/listen.go
@@ -33,6 +33,28 @@
 	m.resend(now, from, l)
 }
 
+// pulse takes a short heartbeat. An agent that is not known here must announce
+// itself again, which it does on a new connection.
+func (m *Model) pulse(now time.Time, from ConnID, p *controlpb.Pulse) {
+	l := m.listeners[m.links[from].hello.GetName()]
+	if l == nil || l.conn != from {
+		m.emit(CloseEffect{
+			Conn: from,
+		})
+		return
+	}
+	l.heardAt = now
+	if l.vitals != nil {
+		l.vitals.Active = p.GetActive()
+		l.vitals.Limit = p.GetLimit()
+	}
+	if l.suspect {
+		l.suspect = false
+		m.claim(l.member, false)
+	}
+	m.resend(now, from, l)
+}
+
 // listedWrong reports whether the roster lacks a living member.
 func (m *Model) listedWrong(x *controlpb.Member) bool {
 	r := m.roster.Member(x.GetTarget())
--- a/balancer/model.go
+++ b/balancer/model.go
@@ -60,6 +60,9 @@
 
 // NewModel returns a balancer that knows only its settings.
 func NewModel(c Config, now time.Time) *Model {
+	// A region that has never had a registrar need not wait for the silence of
+	// one.
+	heard := now.Add(startGrace - c.Lease.Silence)
 	return &Model{
 		config:    c,
 		document:  intent.NewDocument(c.Region),
@@ -67,10 +70,10 @@
 		tables:    map[string]*service.Table{},
 		links:     map[ConnID]*link{},
 		listeners: map[string]*listener{},
-		lease:     lease.NewModel(c.Lease, now),
+		lease:     lease.NewModel(c.Lease, heard),
 		pingers:   map[string]*pinger{},
 		beat:      &controlpb.Beat{},
-		beatenAt:  now,
+		beatenAt:  heard,
 		provenAt:  now,
 	}
 }
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -58,6 +58,8 @@
 	switch e := x.Envelope.GetBody().(type) {
 	case *controlpb.Envelope_Announce:
 		m.announce(now, x.Conn, e.Announce)
+	case *controlpb.Envelope_Pulse:
+		m.pulse(now, x.Conn, e.Pulse)
 	case *controlpb.Envelope_Claim:
 		m.claimed(e.Claim)
 	case *controlpb.Envelope_Beat:
--- a/balancer/status.go
+++ b/balancer/status.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/lentilshed/lentilshed/controlpb"
+	"google.golang.org/protobuf/proto"
 )
 
 // status answers lentilctl with this balancer and the agents it hears.
@@ -33,7 +34,7 @@
 			ControlAddress: l.member.GetControlAddress(),
 			IntentRevision: l.revision,
 			RosterVersion:  l.version,
-			Vitals:         l.vitals,
+			Vitals:         proto.CloneOf(l.vitals),
 			State:          l.member.GetState(),
 		})
 	}
--- a/demo/imbalance.go
+++ b/demo/imbalance.go
@@ -8,7 +8,7 @@
 }
 
 // leastLoad is the mean load below which single flows decide the ratio.
-const leastLoad = 0.15
+const leastLoad = 0.05
 
 // add takes the loads of one service's usable targets.
 func (m *imbalanceMeter) add(loads []float64) {
--- /dev/null
+++ b/integration/cluster_test.go
@@ -0,0 +1,346 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/lentilshed/lentilshed/standin/backend"
+	"github.com/lentilshed/lentilshed/standin/caller"
+	"github.com/lentilshed/lentilshed/standin/fabric"
+	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	region    = "bayern"
+	service   = "liedlive"
+	patience  = 20 * time.Second
+	pollPause = 20 * time.Millisecond
+)
+
+var serviceAddress = netip.MustParseAddrPort("10.80.0.1:7000")
+
+// binaries holds the two programs, built once.
+var binaries = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "lentilshed")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir+"/", "github.com/lentilshed/lentilshed/cmd/...").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return dir, nil
+})
+
+// process is one started instance.
+type process struct {
+	name  string
+	cmd   *exec.Cmd
+	admin string
+	log   *bytes.Buffer
+	done  chan struct{}
+}
+
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s)
+}
+
+// kill ends the process as a crash would.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// cluster is a region of processes with stand-ins around it.
+type cluster struct {
+	t         *testing.T
+	dir       string
+	store     *objectstore.Server
+	proxy     *toxiproxy.Proxy
+	platform  string
+	direct    string
+	fabric    *fabric.Fabric
+	balancers map[string]*process
+	agents    map[string]*process
+	backends  map[string]*backend.Server
+	packets   map[string]netip.AddrPort
+	seeds     []string
+	// groups counts the groups of callers; each has its own addresses.
+	groups byte
+	mu     sync.Mutex
+	ends   []caller.End
+}
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	_, err := binaries()
+	require.NoError(t, err)
+	c := &cluster{
+		t:         t,
+		dir:       t.TempDir(),
+		store:     objectstore.New(1),
+		balancers: map[string]*process{},
+		agents:    map[string]*process{},
+		backends:  map[string]*backend.Server{},
+		packets:   map[string]netip.AddrPort{},
+	}
+	w := httptest.NewServer(c.store)
+	t.Cleanup(w.Close)
+	c.direct = w.URL
+	c.startProxy(w.Listener.Addr().String())
+	c.fabric, err = fabric.New(fabric.Config{
+		Address:     "127.0.0.1:0",
+		ClientDelay: time.Millisecond,
+		Seed:        1,
+		KeepIdle:    4 * time.Second,
+	})
+	require.NoError(t, err)
+	t.Cleanup(c.fabric.Close)
+	t.Cleanup(c.stopAll)
+	return c
+}
+
+// startProxy puts the platform behind a proxy that tests can cut.
+func (c *cluster) startProxy(upstream string) {
+	s := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	c.proxy = toxiproxy.NewProxy(s, "platform", freeAddress(c.t), upstream)
+	require.NoError(c.t, c.proxy.Start())
+	c.t.Cleanup(c.proxy.Stop)
+	c.platform = "http://" + c.proxy.Listen
+}
+
+// addBalancer starts a balancer process.
+func (c *cluster) addBalancer(name, domain string) {
+	packets := freeUDPAddress(c.t)
+	control := freeAddress(c.t)
+	admin := freeAddress(c.t)
+	text := fmt.Sprintf("[balancer]\nname = %q\nregion = %q\nfailure_domain = %q\npacket_address = %q\n"+
+		"control_address = %q\nadmin_address = %q\nbalancers = %s\nplatform = %q\n",
+		name, region, domain, packets, control, admin, list(c.seeds), c.platform)
+	c.balancers[name] = c.start(name, "balancer", text, admin)
+	c.seeds = append(c.seeds, control)
+	c.packets[name] = netip.MustParseAddrPort(packets)
+	c.spray()
+}
+
+// addAgent starts a backend server, unless it runs already, and its agent.
+func (c *cluster) addAgent(name, domain string) {
+	b := c.backends[name]
+	if b == nil {
+		var err error
+		b, err = backend.New(backend.Config{
+			Name:      name,
+			Service:   service,
+			Capacity:  1000,
+			ColdShare: 0.5,
+			Warmup:    time.Second,
+			ReportLag: 100 * time.Millisecond,
+			Address:   "127.0.0.1:0",
+		})
+		require.NoError(c.t, err)
+		c.backends[name] = b
+	}
+	admin := freeAddress(c.t)
+	text := fmt.Sprintf("[agent]\nname = %q\nregion = %q\nfailure_domain = %q\npacket_address = %q\n"+
+		"control_address = %q\nadmin_address = %q\nbalancers = %s\nservice = %q\nfabric_address = %q\n"+
+		"backend_server = %q\nload_url = %q\nflow_limit = 1000\nstop_timeout = \"8s\"\n",
+		name, region, domain, freeUDPAddress(c.t), freeAddress(c.t), admin, list(c.seeds), service,
+		c.fabric.Address(), b.Address(), b.LoadURL())
+	c.agents[name] = c.start(name, "agent", text, admin)
+}
+
+func (c *cluster) start(name, role, text, admin string) *process {
+	dir, err := binaries()
+	require.NoError(c.t, err)
+	path := filepath.Join(c.dir, name+".toml")
+	require.NoError(c.t, os.WriteFile(path, []byte(text), 0o600))
+	p := &process{
+		name:  name,
+		cmd:   exec.Command(filepath.Join(dir, "lentilshed"), role, "--config", path),
+		admin: admin,
+		log:   &bytes.Buffer{},
+		done:  make(chan struct{}),
+	}
+	p.cmd.Stderr = p.log
+	require.NoError(c.t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	return p
+}
+
+// removeBalancer takes a balancer out of the fabric's spray and kills it.
+func (c *cluster) removeBalancer(name string) {
+	p := c.balancers[name]
+	delete(c.balancers, name)
+	c.spray()
+	p.kill()
+}
+
+func (c *cluster) spray() {
+	var l []netip.AddrPort
+	for n := range c.balancers {
+		l = append(l, c.packets[n])
+	}
+	c.fabric.SetBalancers(l)
+}
+
+func (c *cluster) stopAll() {
+	for _, m := range []map[string]*process{c.agents, c.balancers} {
+		for _, p := range m {
+			p.signal(syscall.SIGCONT)
+			p.kill()
+			if c.t.Failed() {
+				c.t.Logf("%s: %s", p.name, p.log.String())
+			}
+		}
+	}
+	for _, b := range c.backends {
+		b.Close()
+	}
+}
+
+// ctl runs lentilctl against the platform itself, past the proxy.
+func (c *cluster) ctl(args ...string) (string, error) {
+	dir, err := binaries()
+	require.NoError(c.t, err)
+	all := append([]string{"--platform", c.direct, "--region", region, "--author", "anna"}, args...)
+	x := exec.Command(filepath.Join(dir, "lentilctl"), all...)
+	out, err := x.CombinedOutput()
+	return string(out), err
+}
+
+func (c *cluster) mustCtl(args ...string) string {
+	c.t.Helper()
+	out, err := c.ctl(args...)
+	require.NoError(c.t, err, out)
+	return out
+}
+
+// declare applies the service from a directory of declarations.
+func (c *cluster) declare() {
+	dir := filepath.Join(c.dir, "declarations")
+	require.NoError(c.t, os.MkdirAll(dir, 0o700))
+	text := "[[service]]\nname = \"liedlive\"\naddress = \"10.80.0.1:7000\"\nflow_limit = 1000\ncold_share = 0.5\nwarmup = \"1s\"\n"
+	require.NoError(c.t, os.WriteFile(filepath.Join(dir, "liedlive.toml"), []byte(text), 0o600))
+	c.mustCtl("apply", "-f", dir)
+}
+
+// metric reads one metric of a process; false while it cannot be read.
+func (c *cluster) metric(p *process, name string) (float64, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	b, err := get(ctx, "http://"+p.admin+"/metrics")
+	if err != nil {
+		return 0, false
+	}
+	for _, l := range strings.Split(b, "\n") {
+		head, value, ok := strings.Cut(l, "} ")
+		if !ok || !strings.Contains(head, name+"{") {
+			continue
+		}
+		var v float64
+		_, err := fmt.Sscan(value, &v)
+		return v, err == nil
+	}
+	return 0, false
+}
+
+// eventually waits for a condition.
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	end := time.Now().Add(patience)
+	for !f() {
+		if time.Now().After(end) {
+			require.FailNow(c.t, "not in time", what)
+		}
+		time.Sleep(pollPause)
+	}
+}
+
+// awaitJoined waits until agents take part in the service.
+func (c *cluster) awaitJoined(names ...string) {
+	c.t.Helper()
+	for _, n := range names {
+		c.eventually(n+" has joined", func() bool {
+			v, ok := c.metric(c.agents[n], "joined")
+			return ok && v == 1
+		})
+	}
+}
+
+// open opens flows that live until the callers are closed.
+func (c *cluster) open(n int) *caller.Callers {
+	c.groups++
+	x := caller.New(caller.Config{
+		Dial:  c.fabric.Dial,
+		Pause: 100 * time.Millisecond,
+		First: netip.AddrFrom4([4]byte{100, 64, c.groups, 1}),
+		Report: func(e caller.End) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.ends = append(c.ends, e)
+		},
+	})
+	c.t.Cleanup(x.Close)
+	for range n {
+		x.Open(service, serviceAddress, time.Hour)
+		time.Sleep(time.Millisecond)
+	}
+	c.eventually("flows are open", func() bool { return x.Live() == n })
+	return x
+}
+
+// ended returns the flows that ended by other means than their callers'.
+func (c *cluster) ended() []caller.End {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var l []caller.End
+	for _, e := range c.ends {
+		if e.Outcome != caller.OutcomeDone {
+			l = append(l, e)
+		}
+	}
+	return l
+}
+
+func list(l []string) string {
+	q := make([]string, 0, len(l))
+	for _, s := range l {
+		q = append(q, fmt.Sprintf("%q", s))
+	}
+	return "[" + strings.Join(q, ", ") + "]"
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func freeUDPAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.LocalAddr().String()
+}
--- /dev/null
+++ b/integration/processes_test.go
@@ -0,0 +1,161 @@
+package integration
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// startRegion starts two balancers and four agents in three failure domains.
+func startRegion(t *testing.T) *cluster {
+	t.Helper()
+	c := newCluster(t)
+	c.addBalancer("b1", "muenchen-a")
+	c.addBalancer("b2", "nuernberg")
+	c.declare()
+	c.addAgent("liedlive-1", "muenchen-a")
+	c.addAgent("liedlive-2", "muenchen-a")
+	c.addAgent("liedlive-3", "nuernberg")
+	c.addAgent("liedlive-4", "regensburg")
+	c.awaitJoined("liedlive-1", "liedlive-2", "liedlive-3", "liedlive-4")
+	return c
+}
+
+// TestPlannedChangesKeepFlows drains, undrains, replaces a balancer and adds a
+// target while flows are open: none may end.
+func TestPlannedChangesKeepFlows(t *testing.T) {
+	c := startRegion(t)
+	c.open(200)
+	c.mustCtl("drain", "liedlive-2")
+	c.mustCtl("wait")
+	time.Sleep(500 * time.Millisecond)
+	c.mustCtl("undrain", "liedlive-2")
+	c.addBalancer("b3", "regensburg")
+	time.Sleep(time.Second)
+	c.removeBalancer("b1")
+	c.addAgent("liedlive-5", "nuernberg")
+	c.awaitJoined("liedlive-5")
+	time.Sleep(2 * time.Second)
+	require.Empty(t, c.ended())
+	out := c.mustCtl("show", "handover")
+	require.Contains(t, out, "undrain liedlive-2")
+	require.Less(t, strings.Count(out, "\n"), 25)
+}
+
+// TestPausedAgentKeepsItsFlows freezes an agent past its heartbeats and wakes
+// it before it has lapsed.
+func TestPausedAgentKeepsItsFlows(t *testing.T) {
+	c := startRegion(t)
+	c.open(100)
+	c.agents["liedlive-3"].signal(syscall.SIGSTOP)
+	time.Sleep(2 * time.Second)
+	c.agents["liedlive-3"].signal(syscall.SIGCONT)
+	time.Sleep(3 * time.Second)
+	require.Empty(t, c.ended())
+}
+
+// TestCrashedAgentLosesOnlyItsFlows kills an agent: its callers are told, the
+// others keep their flows, and a new life takes part again.
+func TestCrashedAgentLosesOnlyItsFlows(t *testing.T) {
+	c := startRegion(t)
+	x := c.open(200)
+	before := c.backends["liedlive-4"].Active()
+	require.Positive(t, before)
+	c.agents["liedlive-4"].kill()
+	c.eventually("callers are told", func() bool { return x.Live() == 200-before })
+	time.Sleep(time.Second)
+	require.Len(t, c.ended(), before)
+	for _, e := range c.ended() {
+		require.Equal(t, "liedlive-4", e.Target)
+	}
+	c.addAgent("liedlive-4", "regensburg")
+	c.awaitJoined("liedlive-4")
+	c.open(50)
+	require.Len(t, c.ended(), before)
+}
+
+// TestDomainOutWhilePlatformDies cuts every process off from the platform right
+// after a change was accepted: it comes into force all the same.
+func TestDomainOutWhilePlatformDies(t *testing.T) {
+	c := startRegion(t)
+	x := c.open(200)
+	out := c.backends["liedlive-1"].Active() + c.backends["liedlive-2"].Active()
+	c.mustCtl("take", "out", "domain", "muenchen-a")
+	c.proxy.Stop()
+	c.eventually("flows of the domain are given up", func() bool { return x.Live() == 200-out })
+	require.Zero(t, c.backends["liedlive-1"].Active()+c.backends["liedlive-2"].Active())
+	c.open(100)
+	require.Zero(t, c.backends["liedlive-1"].Active()+c.backends["liedlive-2"].Active())
+	for _, e := range c.ended() {
+		require.Contains(t, []string{"liedlive-1", "liedlive-2"}, e.Target)
+	}
+	require.NoError(t, c.proxy.Start())
+	c.mustCtl("bring", "back", "domain", "muenchen-a")
+	c.mustCtl("wait")
+	c.eventually("the domain serves again", func() bool {
+		v, ok := c.metric(c.agents["liedlive-1"], "joined")
+		return ok && v == 1
+	})
+}
+
+// TestGracefulStopWaitsForFlows tells an agent to stop: it takes no new flow,
+// and it ends by itself once its flows have ended.
+func TestGracefulStopWaitsForFlows(t *testing.T) {
+	c := startRegion(t)
+	x := c.open(100)
+	p := c.agents["liedlive-3"]
+	opened := c.backends["liedlive-3"].Opened.Load()
+	p.signal(syscall.SIGTERM)
+	time.Sleep(time.Second)
+	c.open(50)
+	require.Equal(t, opened, c.backends["liedlive-3"].Opened.Load())
+	require.Empty(t, c.ended())
+	x.Close()
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		require.Fail(t, "the agent did not stop")
+	}
+	require.NotContains(t, p.log.String(), "cutting flows")
+	delete(c.agents, "liedlive-3")
+}
+
+// TestRegistrarIsReplaced kills the balancer that orders the roster: a target
+// that joins afterwards is served.
+func TestRegistrarIsReplaced(t *testing.T) {
+	c := startRegion(t)
+	c.open(50)
+	c.addBalancer("b3", "regensburg")
+	time.Sleep(time.Second)
+	for n, p := range c.balancers {
+		if v, ok := c.metric(p, "registrar"); ok && v == 1 {
+			c.removeBalancer(n)
+			break
+		}
+	}
+	require.Len(t, c.balancers, 2)
+	c.addAgent("liedlive-5", "regensburg")
+	c.awaitJoined("liedlive-5")
+	require.Empty(t, c.ended())
+}
+
+// TestBadSettingsStartNothing expects one line and exit status 2.
+func TestBadSettingsStartNothing(t *testing.T) {
+	dir, err := binaries()
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "bad.toml")
+	require.NoError(t, os.WriteFile(path, []byte("[agent]\nname = \"a\"\nregoin = \"x\"\n"), 0o600))
+	for _, args := range [][]string{{"agent", "--config", path}, {"check-config", path}} {
+		x := exec.Command(filepath.Join(dir, "lentilshed"), args...)
+		out, err := x.CombinedOutput()
+		require.Error(t, err)
+		require.Equal(t, 2, x.ProcessState.ExitCode())
+		require.Equal(t, path+": agent.regoin: unknown key\n", string(out))
+	}
+}
