--- a/agent/held.go
+++ b/agent/held.go
@@ -2,32 +2,27 @@
 
 import "time"
 
-// heldPacket is a packet that waits until its flow's place is known.
-type heldPacket struct {
-	msg     PacketMsg
-	expires time.Time
-}
-
-// heldQueue is a bounded queue of packets in order of arrival. When it is full
-// the newest packet is dropped.
+// heldQueue is a bounded queue of packets that wait until their flow's place is
+// known, in order of arrival. When it is full the newest packet is dropped.
 type heldQueue struct {
-	packets []heldPacket
+	packets []PacketMsg
 }
 
-// push reports whether there was room.
+// push reports whether there was room. A packet that waits again keeps its
+// first deadline.
 func (q *heldQueue) push(p PacketMsg, now time.Time) bool {
 	if len(q.packets) >= heldPackets {
 		return false
 	}
-	q.packets = append(q.packets, heldPacket{
-		msg:     p,
-		expires: now.Add(holdTimeout),
-	})
+	if p.expires.IsZero() {
+		p.expires = now.Add(holdTimeout)
+	}
+	q.packets = append(q.packets, p)
 	return true
 }
 
 // take empties the queue.
-func (q *heldQueue) take() []heldPacket {
+func (q *heldQueue) take() []PacketMsg {
 	p := q.packets
 	q.packets = nil
 	return p
--- a/agent/msg.go
+++ b/agent/msg.go
@@ -18,6 +18,8 @@
 	Meta  packet.Meta
 	Inner packet.Inner
 	Data  []byte
+	// expires ends the wait of a held packet.
+	expires time.Time
 }
 
 // TableMsg is a new routing table of the agent's service. A table that does
--- a/agent/network_test.go
+++ b/agent/network_test.go
@@ -175,7 +175,9 @@
 	case ResetEffect:
 		n.reset(x.Data)
 	case EndFlowEffect:
-		n.end(x.Key)
+		if f := n.flows[x.Key]; f != nil && f.holder == id {
+			n.end(x.Key)
+		}
 	case SyncEffect:
 		n.queue(id, x.To, SyncMsg{
 			From:   id,
--- a/agent/route.go
+++ b/agent/route.go
@@ -160,12 +160,12 @@
 
 // flushHeld decides again about held packets and drops the expired ones.
 func (m *Model) flushHeld(now time.Time) {
-	for _, h := range m.held.take() {
-		if now.After(h.expires) {
+	for _, p := range m.held.take() {
+		if now.After(p.expires) {
 			m.drop(packet.ReasonUnsynced)
 			continue
 		}
-		m.packet(now, h.msg)
+		m.packet(now, p)
 	}
 }
 
--- a/balancer/config.go
+++ b/balancer/config.go
@@ -9,10 +9,16 @@
 const (
 	// beatPeriod is the time between two beats of the registrar.
 	beatPeriod = time.Second
-	// pingPeriod is the time between two pings to the registrar.
+	// pingPeriod is the least time between two pings to the registrar; each
+	// balancer of the region adds pingStep, so that the registrar's load is
+	// bounded. Neighbours notice a lost balancer sooner.
 	pingPeriod = time.Second
-	// pingTimeout is the silence after which the registrar gives a balancer up.
-	pingTimeout = 3 * time.Second
+	pingStep   = 50 * time.Millisecond
+	// pingsMissed is how many pings the registrar waits for.
+	pingsMissed = 3
+	// lostPeriod is how long a neighbour is out of reach before it is reported,
+	// and the time between two reports.
+	lostPeriod = time.Second
 	// suspectTimeout is the silence after which a target is home of nothing.
 	suspectTimeout = time.Second
 	// closedGrace is what is left of it when the target's connection has closed.
@@ -33,7 +39,7 @@
 	// platform, so that an accepted change outlives the registrar.
 	deputies = 2
 	// links is the number of balancers that each balancer dials.
-	links = 4
+	links = 3
 )
 
 // The lease of the registrar: a holder renews several times within the TTL; a
--- a/balancer/effect.go
+++ b/balancer/effect.go
@@ -17,7 +17,12 @@
 	Conn ConnID
 }
 
-// DialEffect replaces the addresses that connections are kept to.
+// UplinkEffect replaces the address of the registrar; empty is none.
+type UplinkEffect struct {
+	Address string
+}
+
+// DialEffect replaces the neighbours that connections are kept to.
 type DialEffect struct {
 	Addresses []string
 }
--- a/balancer/link.go
+++ b/balancer/link.go
@@ -10,6 +10,9 @@
 const (
 	roleAgent    = "agent"
 	roleBalancer = "balancer"
+	// roleClaimant is a balancer on its connection to the registrar, which
+	// carries no floods.
+	roleClaimant = "claimant"
 )
 
 // link is one control connection and what its peer has been sent.
@@ -18,11 +21,17 @@
 	revision uint64
 	version  roster.Version
 	resentAt time.Time
+	uplink   bool
 }
 
-// balancer reports whether the peer is a balancer.
+// balancer reports whether the peer is a neighbour, to flood news to.
 func (l *link) balancer() bool {
-	return l.hello.GetRole() == roleBalancer
+	return !l.uplink && l.hello.GetRole() == roleBalancer
+}
+
+// fromBalancer reports whether the peer is a balancer on any connection.
+func (l *link) fromBalancer() bool {
+	return l.balancer() || l.hello.GetRole() == roleClaimant
 }
 
 // agent reports whether the peer is an agent.
--- a/balancer/listen.go
+++ b/balancer/listen.go
@@ -153,7 +153,7 @@
 }
 
 func (m *Model) ping(now time.Time) {
-	if now.Sub(m.pingedAt) < pingPeriod {
+	if now.Sub(m.pingedAt) < m.pingEvery() {
 		return
 	}
 	m.pingedAt = now
@@ -189,10 +189,10 @@
 	return r
 }
 
-// toRegistrar sends on one connection to the registrar, if there is one.
+// toRegistrar sends on the connection to the registrar, if there is one.
 func (m *Model) toRegistrar(e *controlpb.Envelope) {
 	for id, l := range m.links {
-		if l.balancer() && l.hello.GetName() == m.beat.GetHolder() {
+		if l.uplink && l.hello.GetName() == m.beat.GetHolder() {
 			m.send(id, e)
 			return
 		}
--- a/balancer/model.go
+++ b/balancer/model.go
@@ -31,6 +31,8 @@
 	// term is never served twice: its versions would not be unique.
 	lastTerm lease.Term
 	pingers  map[string]*pinger
+	// lost holds neighbours that closed their last connection, and since when.
+	lost     map[string]time.Time
 	beat     *controlpb.Beat
 	sequence uint64
 	beatAt   time.Time
@@ -40,8 +42,12 @@
 	watching bool
 	stopped  bool
 	dialed   []string
-	stats    Stats
-	effects  []Effect
+	uplink   string
+	ring     ring
+	// rosterDirty is set while neighbours lack a change of the roster.
+	rosterDirty bool
+	stats       Stats
+	effects     []Effect
 }
 
 // Stats counts what a model has seen.
@@ -72,6 +78,7 @@
 		listeners: map[string]*listener{},
 		lease:     lease.NewModel(c.Lease, heard),
 		pingers:   map[string]*pinger{},
+		lost:      map[string]time.Time{},
 		beat:      &controlpb.Beat{},
 		beatenAt:  heard,
 		provenAt:  now,
@@ -137,7 +144,10 @@
 	m.contend(now, lease.TickMsg{})
 	m.tickRegistrar(now)
 	m.tickListeners(now)
+	m.tickLost(now)
+	m.pushRoster()
 	m.ping(now)
+	m.ring.refresh(m)
 	m.dial()
 	m.watch(now)
 	m.isolate(now)
--- /dev/null
+++ b/balancer/model_test.go
@@ -0,0 +1,164 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/lease"
+	"github.com/lentilshed/lentilshed/roster"
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newTestModel(name string) *Model {
+	return NewModel(Config{
+		Name:    name,
+		Region:  "bayern",
+		Domain:  "nuernberg",
+		Control: name + ":1",
+		Lease: lease.Config{
+			Holder:  name,
+			TTL:     LeaseTTL,
+			Renew:   LeaseRenew,
+			Silence: LeaseSilence,
+		},
+	}, start)
+}
+
+// becomeTestRegistrar answers the lease's calls as an empty platform would.
+func becomeTestRegistrar(m *Model, now time.Time) {
+	now = now.Add(3 * time.Second)
+	for _, msg := range []Msg{
+		TickMsg{},
+		lease.ReadMsg{},
+		lease.WriteMsg{Outcome: lease.OutcomeWritten, Version: 1},
+	} {
+		m.Update(now, msg)
+	}
+}
+
+func instance(name string) *controlpb.Member {
+	return &controlpb.Member{
+		Target:         name,
+		Incarnation:    1,
+		Service:        roster.Instances,
+		ControlAddress: name + ":1",
+		State:          controlpb.MemberState_MEMBER_STATE_JOINED,
+	}
+}
+
+// envelopes lists the messages among effects.
+func envelopes(l []Effect) []*controlpb.Envelope {
+	var e []*controlpb.Envelope
+	for _, x := range l {
+		if s, ok := x.(SendEffect); ok {
+			e = append(e, s.Envelope)
+		}
+	}
+	return e
+}
+
+func TestIsolatedBalancerStopsSending(t *testing.T) {
+	m := newTestModel("b1")
+	m.Update(start, OpenMsg{Conn: 1, Hello: &controlpb.Hello{Name: "b2", Role: roleBalancer}})
+	r := roster.NewRoster()
+	g := roster.NewRegistrar(r, 1, start)
+	g.Claim(instance("b1"), "b2")
+	g.Claim(instance("b2"), "b2")
+	m.Update(start, EnvelopeMsg{Conn: 1, Envelope: &controlpb.Envelope{
+		Body: &controlpb.Envelope_Roster{Roster: r.Since(0, "")},
+	}})
+	m.Update(start, OpenMsg{Conn: 2, Hello: &controlpb.Hello{Name: "t1", Role: roleAgent}})
+	m.Update(start.Add(10*time.Second), TickMsg{})
+	require.False(t, m.Isolated(), "a neighbour is connected")
+
+	m.Update(start.Add(11*time.Second), CloseMsg{Conn: 1})
+	e := m.Update(start.Add(12*time.Second), TickMsg{})
+	require.True(t, m.Isolated())
+	require.Contains(t, e, CloseEffect{Conn: 2}, "its agents look for another balancer")
+
+	m.Update(start.Add(13*time.Second), AcceptedMsg{})
+	m.Update(start.Add(13*time.Second), TickMsg{})
+	require.False(t, m.Isolated(), "the platform answers")
+}
+
+func TestOlderDocumentIsIgnored(t *testing.T) {
+	m := newTestModel("b1")
+	old := intent.NewDocument("bayern")
+	e := intent.NewEdit(old)
+	e.SetDomain("nuernberg", true, start)
+	m.Update(start, AcceptedMsg{Document: e.Done(&controlpb.Operation{Id: "1"})})
+	require.Equal(t, uint64(1), m.Revision())
+	m.Update(start, AcceptedMsg{Document: old})
+	require.Equal(t, uint64(1), m.Revision())
+	require.True(t, m.document.Out("nuernberg"))
+	require.Equal(t, uint64(1), m.Stats().Reverted)
+}
+
+// TestReportedNeighbourIsAsked reports a balancer that is well: it is asked, its
+// claims come again, and none of its targets lapses.
+func TestReportedNeighbourIsAsked(t *testing.T) {
+	m := newTestModel("b1")
+	becomeTestRegistrar(m, start)
+	require.True(t, m.Registrar())
+	now := start.Add(4 * time.Second)
+	m.Update(now, OpenMsg{Conn: 1, Hello: &controlpb.Hello{Name: "b2", Role: roleClaimant}})
+	claim := EnvelopeMsg{Conn: 1, Envelope: &controlpb.Envelope{
+		Body: &controlpb.Envelope_Claim{Claim: &controlpb.Claim{
+			Balancer: "b2",
+			Member: &controlpb.Member{
+				Target:      "t1",
+				Incarnation: 1,
+				Service:     "liedlive",
+				State:       controlpb.MemberState_MEMBER_STATE_JOINED,
+			},
+		}},
+	}}
+	m.Update(now, claim)
+	sent := envelopes(m.Update(now, EnvelopeMsg{Conn: 1, Envelope: &controlpb.Envelope{
+		Body: &controlpb.Envelope_Lost{Lost: &controlpb.Lost{Balancer: "b2"}},
+	}}))
+	require.Len(t, sent, 1)
+	require.NotNil(t, sent[0].GetClaimRequest())
+	m.Update(now.Add(time.Second), claim)
+	m.Update(now.Add(10*time.Second), TickMsg{})
+	require.Equal(t, controlpb.MemberState_MEMBER_STATE_JOINED, m.roster.Member("t1").GetState())
+
+	m.Update(now.Add(11*time.Second), EnvelopeMsg{Conn: 1, Envelope: &controlpb.Envelope{
+		Body: &controlpb.Envelope_Lost{Lost: &controlpb.Lost{Balancer: "b2"}},
+	}})
+	m.Update(now.Add(20*time.Second), TickMsg{})
+	require.Equal(t, controlpb.MemberState_MEMBER_STATE_GONE, m.roster.Member("t1").GetState())
+}
+
+func TestSilentTargetIsSuspectThenLapsed(t *testing.T) {
+	m := newTestModel("b1")
+	becomeTestRegistrar(m, start)
+	now := start.Add(4 * time.Second)
+	m.Update(now, OpenMsg{Conn: 1, Hello: &controlpb.Hello{Name: "t1", Role: roleAgent, Service: "liedlive"}})
+	m.Update(now, EnvelopeMsg{Conn: 1, Envelope: &controlpb.Envelope{
+		Body: &controlpb.Envelope_Announce{Announce: &controlpb.Announce{
+			Member: &controlpb.Member{
+				Target:      "t1",
+				Incarnation: 1,
+				Service:     "liedlive",
+				State:       controlpb.MemberState_MEMBER_STATE_JOINED,
+			},
+		}},
+	}})
+	state := func() controlpb.MemberState { return m.roster.Member("t1").GetState() }
+	m.Update(now.Add(suspectTimeout+time.Millisecond), TickMsg{})
+	require.Equal(t, controlpb.MemberState_MEMBER_STATE_SUSPECT, state())
+	m.Update(now.Add(2*time.Second), EnvelopeMsg{Conn: 1, Envelope: &controlpb.Envelope{
+		Body: &controlpb.Envelope_Pulse{Pulse: &controlpb.Pulse{}},
+	}})
+	require.Equal(t, controlpb.MemberState_MEMBER_STATE_JOINED, state())
+	m.Update(now.Add(4*time.Second), TickMsg{})
+	require.Equal(t, controlpb.MemberState_MEMBER_STATE_SUSPECT, state())
+	m.Update(now.Add(7*time.Second), TickMsg{})
+	require.Equal(t, controlpb.MemberState_MEMBER_STATE_GONE, state())
+	require.True(t, m.roster.Member("t1").GetCrashed())
+}
--- a/balancer/msg.go
+++ b/balancer/msg.go
@@ -15,6 +15,9 @@
 type OpenMsg struct {
 	Conn  ConnID
 	Hello *controlpb.Hello
+	// Uplink is set for the connection that this balancer opened to speak to the
+	// registrar.
+	Uplink bool
 }
 
 // CloseMsg is the end of a control connection.
--- a/balancer/perform.go
+++ b/balancer/perform.go
@@ -17,6 +17,8 @@
 		}
 	case DialEffect:
 		r.dialer.Set(x.Addresses)
+	case UplinkEffect:
+		r.setUplink(x.Address)
 	case WatchEffect:
 		r.watcher.set(x.On)
 	case RoutesEffect:
@@ -27,3 +29,11 @@
 		r.lease.write(x)
 	}
 }
+
+func (r *Runtime) setUplink(address string) {
+	if address == "" {
+		r.uplink.Set(nil)
+		return
+	}
+	r.uplink.Set([]string{address})
+}
--- a/balancer/registrar.go
+++ b/balancer/registrar.go
@@ -49,7 +49,7 @@
 	m.sequence = 0
 	m.sendBeat(now)
 	m.claimAll()
-	m.push()
+	m.rosterDirty = true
 }
 
 func (m *Model) serviceNames() []string {
@@ -65,7 +65,7 @@
 		return
 	}
 	for n, p := range m.pingers {
-		if now.Sub(p.heardAt) > pingTimeout {
+		if now.Sub(p.heardAt) > pingsMissed*m.pingEvery() {
 			m.registrar.BalancerLost(n, now)
 			delete(m.pingers, n)
 		}
@@ -91,9 +91,7 @@
 		RosterVersion:  uint64(m.roster.Version),
 		Stale:          m.lease.Stale(now),
 	}
-	for id := range m.links {
-		m.send(id, beatEnvelope(m.beat))
-	}
+	m.sendBeatTo(m.beat, 0)
 }
 
 // claimed takes a claim as the registrar.
@@ -114,7 +112,7 @@
 
 func (m *Model) rosterChanged(names []string) {
 	m.rebuild(withoutInstances(names))
-	m.push()
+	m.rosterDirty = true
 }
 
 func (m *Model) pinged(now time.Time, p *controlpb.Ping) {
--- a/balancer/runtime.go
+++ b/balancer/runtime.go
@@ -54,6 +54,7 @@
 	socket  *net.UDPConn
 	server  *control.Server
 	dialer  *control.Dialer
+	uplink  *control.Dialer
 	bytes   control.Bytes
 	conns   connTable
 	watcher *watcher
@@ -69,7 +70,9 @@
 	Registrar bool
 	Isolated  bool
 	Agents    int
-	Stats     Stats
+	// Members is the number of targets and instances in the roster.
+	Members int
+	Stats   Stats
 }
 
 // NewRuntime opens the sockets and starts all duties.
@@ -138,6 +141,7 @@
 	close(r.stop)
 	r.watcher.set(false)
 	r.dialer.Close()
+	r.uplink.Close()
 	r.server.Close()
 	_ = r.socket.Close()
 	r.wait.Wait()
@@ -155,13 +159,14 @@
 		return errors.Wrap(err, "listen for packets")
 	}
 	_ = r.socket.SetReadBuffer(socketBuffer)
-	h := r.handler()
+	h := r.handler(roleBalancer)
 	r.server, err = control.Listen(r.config.Config.Control, h)
 	if err != nil {
 		_ = r.socket.Close()
 		return err
 	}
 	r.dialer = control.NewDialer(h)
+	r.uplink = control.NewDialer(r.handler(roleClaimant))
 	r.config.Config.Packets = r.socket.LocalAddr().String()
 	r.config.Config.Control = r.server.Address()
 	r.config.Config.Lease.Address = r.server.Address()
@@ -219,18 +224,25 @@
 		Registrar: r.model.Registrar(),
 		Isolated:  r.model.Isolated(),
 		Agents:    len(r.model.listeners),
+		Members:   r.model.roster.Len(),
 		Stats:     r.model.Stats(),
 	})
 }
 
-func (r *Runtime) handler() control.Handler {
-	return control.Handler{
-		Hello: r.hello,
+// uplinkKeepAlive is longer than that of other connections: the registrar has
+// one from every balancer.
+const uplinkKeepAlive = 30 * time.Second
+
+// handler takes connections of one role.
+func (r *Runtime) handler(role string) control.Handler {
+	h := control.Handler{
+		Hello: func() *controlpb.Hello { return r.hello(role) },
 		Bytes: &r.bytes,
 		Open: func(c *control.Conn) {
 			r.post(OpenMsg{
-				Conn:  r.conns.add(c),
-				Hello: c.Peer,
+				Conn:   r.conns.add(c),
+				Hello:  c.Peer,
+				Uplink: role == roleClaimant,
 			})
 		},
 		Message: func(c *control.Conn, e *controlpb.Envelope) {
@@ -245,16 +257,20 @@
 			})
 		},
 	}
+	if role == roleClaimant {
+		h.KeepAlive = uplinkKeepAlive
+	}
+	return h
 }
 
-func (r *Runtime) hello() *controlpb.Hello {
+func (r *Runtime) hello(role string) *controlpb.Hello {
 	c := &r.config.Config
 	s := r.State()
 	return &controlpb.Hello{
 		Name:           c.Name,
 		Domain:         c.Domain,
 		Region:         c.Region,
-		Role:           roleBalancer,
+		Role:           role,
 		ControlAddress: c.Control,
 		IntentRevision: s.Revision,
 		RosterVersion:  s.Version,
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -18,7 +18,11 @@
 		revision: x.Hello.GetIntentRevision(),
 		version:  roster.Version(x.Hello.GetRosterVersion()),
 	}
+	l.uplink = x.Uplink
 	m.links[x.Conn] = l
+	if x.Uplink {
+		m.claimAll()
+	}
 	if !l.balancer() && !l.agent() {
 		l.revision = math.MaxUint64
 		l.version = math.MaxUint64
@@ -26,10 +30,7 @@
 	}
 	m.pushTo(x.Conn, l)
 	m.pull(x.Conn, l.revision, l.version)
-	if x.Hello.GetName() == m.beat.GetHolder() {
-		m.claimAll()
-	}
-	if m.beat.GetTerm() > 0 {
+	if m.beat.GetTerm() > 0 && l.balancer() {
 		m.send(x.Conn, beatEnvelope(m.beat))
 	}
 }
@@ -38,16 +39,9 @@
 	l := m.links[x.Conn]
 	delete(m.links, x.Conn)
 	m.agentClosed(now, x.Conn)
-	if l == nil || !l.balancer() || m.registrar == nil {
-		return
+	if l != nil && l.balancer() && m.linkTo(l.hello.GetName()) == nil {
+		m.lost[l.hello.GetName()] = now
 	}
-	for _, o := range m.links {
-		if o.hello.GetName() == l.hello.GetName() {
-			return
-		}
-	}
-	m.registrar.BalancerLost(l.hello.GetName(), now)
-	delete(m.pingers, l.hello.GetName())
 }
 
 func (m *Model) envelope(now time.Time, x EnvelopeMsg) {
@@ -74,6 +68,10 @@
 	case *controlpb.Envelope_Roster:
 		l.version = max(l.version, roster.Version(e.Roster.GetVersion()))
 		m.mergeRoster(e.Roster, x.Conn)
+	case *controlpb.Envelope_Lost:
+		m.reportedLost(now, e.Lost.GetBalancer())
+	case *controlpb.Envelope_ClaimRequest:
+		m.claimAll()
 	case *controlpb.Envelope_Ping:
 		m.pinged(now, e.Ping)
 	case *controlpb.Envelope_StatusRequest:
@@ -93,12 +91,17 @@
 	if moved {
 		m.claimAll()
 	}
-	for id := range m.links {
-		if id != from {
+	m.sendBeatTo(b, from)
+	m.pull(from, b.GetIntentRevision(), roster.Version(b.GetRosterVersion()))
+}
+
+// sendBeatTo sends a beat to all balancers but one.
+func (m *Model) sendBeatTo(b *controlpb.Beat, except ConnID) {
+	for id, l := range m.links {
+		if id != except && l.balancer() {
 			m.send(id, beatEnvelope(b))
 		}
 	}
-	m.pull(from, b.GetIntentRevision(), roster.Version(b.GetRosterVersion()))
 }
 
 func newerBeat(a, b *controlpb.Beat) bool {
@@ -138,7 +141,7 @@
 		return
 	}
 	m.rebuild(m.affected(x))
-	m.push()
+	m.pushIntent()
 }
 
 // affected lists the services whose tables an intent delta may change.
@@ -178,37 +181,74 @@
 		return
 	}
 	m.rebuild(withoutInstances(touched))
-	m.push()
+	m.rosterDirty = true
 }
 
 func withoutInstances(names []string) []string {
 	return slices.DeleteFunc(names, func(n string) bool { return n == roster.Instances })
 }
 
-// push sends every peer what it lacks.
-func (m *Model) push() {
+// pushIntent sends every peer what it lacks of the declared state, at once.
+func (m *Model) pushIntent() {
+	for id, l := range m.links {
+		m.pushIntentTo(id, l)
+	}
+}
+
+// pushRoster sends every peer what it lacks of the roster. It runs once a tick,
+// so that a burst of changes makes one delta, and neighbours that stand at the
+// same version share it.
+func (m *Model) pushRoster() {
+	if !m.rosterDirty {
+		return
+	}
+	m.rosterDirty = false
+	shared := map[roster.Version]*controlpb.Roster{}
 	for id, l := range m.links {
-		m.pushTo(id, l)
+		if l.hello.GetService() != "" {
+			m.pushRosterTo(id, l, nil)
+			continue
+		}
+		x := shared[l.version]
+		if x == nil && l.version < m.roster.Version {
+			x = m.roster.Since(l.version, "")
+			shared[l.version] = x
+		}
+		m.pushRosterTo(id, l, x)
 	}
 }
 
 func (m *Model) pushTo(id ConnID, l *link) {
-	if l.revision < m.document.Revision {
-		m.send(id, &controlpb.Envelope{
-			Body: &controlpb.Envelope_Intent{
-				Intent: m.intentFor(l),
-			},
-		})
-		l.revision = m.document.Revision
+	m.pushIntentTo(id, l)
+	m.pushRosterTo(id, l, nil)
+}
+
+func (m *Model) pushIntentTo(id ConnID, l *link) {
+	if l.revision >= m.document.Revision {
+		return
 	}
-	if l.version < m.roster.Version {
-		m.send(id, &controlpb.Envelope{
-			Body: &controlpb.Envelope_Roster{
-				Roster: m.roster.Since(l.version, l.hello.GetService()),
-			},
-		})
-		l.version = m.roster.Version
+	m.send(id, &controlpb.Envelope{
+		Body: &controlpb.Envelope_Intent{
+			Intent: m.intentFor(l),
+		},
+	})
+	l.revision = m.document.Revision
+}
+
+// pushRosterTo sends a delta; nil makes a new one.
+func (m *Model) pushRosterTo(id ConnID, l *link, x *controlpb.Roster) {
+	if l.version >= m.roster.Version {
+		return
+	}
+	if x == nil {
+		x = m.roster.Since(l.version, l.hello.GetService())
 	}
+	m.send(id, &controlpb.Envelope{
+		Body: &controlpb.Envelope_Roster{
+			Roster: x,
+		},
+	})
+	l.version = m.roster.Version
 }
 
 // intentFor leaves out the services that an agent does not serve.
--- a/cmd/lentilshed/root.go
+++ b/cmd/lentilshed/root.go
@@ -32,6 +32,7 @@
 		newServeCommand(roleAgent, errOut),
 		newCheckCommand(out),
 		newDemoCommand(out, errOut),
+		newMeasureCommand(out),
 	)
 	err := c.Execute()
 	switch {
--- a/control/conn.go
+++ b/control/conn.go
@@ -61,6 +61,9 @@
 	Close   func(c *Conn)
 	// Bytes counts the traffic; nil counts nothing.
 	Bytes *Bytes
+	// KeepAlive is the time between probes of connections that this side
+	// dialed; zero takes 2 s. The accepting side sends none.
+	KeepAlive time.Duration
 }
 
 // Send queues a message. It returns false when the connection is closed or the
@@ -94,7 +97,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	s, err := yamux.Client(count(n, h.Bytes), sessionConfig())
+	s, err := yamux.Client(count(n, h.Bytes), dialConfig(h.KeepAlive))
 	if err != nil {
 		_ = n.Close()
 		return nil, errors.Wrap(err, "open session")
@@ -206,8 +209,18 @@
 
 func sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = keepAlive
+	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = writeTimeout
 	c.LogOutput = io.Discard
 	return c
 }
+
+func dialConfig(every time.Duration) *yamux.Config {
+	c := sessionConfig()
+	c.EnableKeepAlive = true
+	c.KeepAliveInterval = keepAlive
+	if every > 0 {
+		c.KeepAliveInterval = every
+	}
+	return c
+}
--- a/demo/load.go
+++ b/demo/load.go
@@ -12,9 +12,11 @@
 const (
 	// brokenShown is how many flows broken by planned changes are described.
 	brokenShown = 20
-	lifeMin     = 0.2
-	lifeMax     = 1.5
-	openTick    = 20 * time.Millisecond
+	// crashTime is how long it takes to end a target and its agent here.
+	crashTime = 500 * time.Millisecond
+	lifeMin   = 0.2
+	lifeMax   = 1.5
+	openTick  = 20 * time.Millisecond
 	// rampShare is the part of a run in which the flows are opened.
 	rampShare = 0.12
 	// steadyFrom is the share of a run after which the first flows are open.
@@ -201,7 +203,7 @@
 func (r *Run) lostInCrash(e caller.End) bool {
 	for name, at := range r.crashes {
 		same := e.Target == name || (e.Lines == 0 && strings.HasPrefix(name, e.Service+"-"))
-		if same && !e.Opened.After(at) && e.At.After(at) {
+		if same && e.Opened.Before(at.Add(crashTime)) && e.At.After(at) {
 			return true
 		}
 	}
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -69,7 +69,7 @@
 
 // cluster is a region of processes with stand-ins around it.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	store     *objectstore.Server
 	proxy     *toxiproxy.Proxy
@@ -87,7 +87,7 @@
 	ends   []caller.End
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	_, err := binaries()
 	require.NoError(t, err)
@@ -329,7 +329,7 @@
 	return "[" + strings.Join(q, ", ") + "]"
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -337,7 +337,7 @@
 	return l.Addr().String()
 }
 
-func freeUDPAddress(t *testing.T) string {
+func freeUDPAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	require.NoError(t, err)
--- /dev/null
+++ b/measure/control.go
@@ -0,0 +1,289 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/balancer"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/lease"
+	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"github.com/lentilshed/lentilshed/telemetry"
+	"github.com/uber-go/tally/v4"
+)
+
+// ErrNotReady is returned when the balancers did not find one another in time.
+var ErrNotReady = errors.New("balancers did not come up in time")
+
+const (
+	measureRegion = "region"
+	readyWait     = 60 * time.Second
+	readPause     = 20 * time.Millisecond
+	inForcePause  = time.Millisecond
+	inForceWait   = 10 * time.Second
+)
+
+// ControlConfig says what RunControl runs.
+type ControlConfig struct {
+	Balancers int
+	// Agents is the number of heartbeats that each balancer hears.
+	Agents int
+	// Idle is how long the idle system is watched.
+	Idle time.Duration
+	// Changes is the number of changes made after that.
+	Changes int
+}
+
+// Control is what one balancer spends on control at one size.
+type Control struct {
+	Balancers           int     `json:"balancers"`
+	AgentsEach          int     `json:"agents_each"`
+	BytesPerSecondMean  float64 `json:"control_bytes_per_second_mean"`
+	BytesPerSecondMax   float64 `json:"control_bytes_per_second_max"`
+	ProcessorShareMean  float64 `json:"processor_share_mean"`
+	PlatformPerSecond   float64 `json:"platform_calls_per_second"`
+	InForceP50MS        float64 `json:"in_force_p50_ms"`
+	InForceP99MS        float64 `json:"in_force_p99_ms"`
+	InForceMaxMS        float64 `json:"in_force_max_ms"`
+	BytesPerChangeMean  float64 `json:"control_bytes_per_change_mean"`
+	HeapBytesPerProcess float64 `json:"heap_bytes_mean"`
+}
+
+// fleet is many balancers in this process, with heartbeats of agents.
+type fleet struct {
+	config    ControlConfig
+	store     *objectstore.Server
+	web       *http.Server
+	url       string
+	balancers []*balancer.Runtime
+	agents    *heartbeats
+}
+
+// RunControl runs balancers in this process and counts what they say.
+func RunControl(c ControlConfig) (*Control, error) {
+	before := heap()
+	f, err := newFleet(c)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	r := &Control{
+		Balancers:           c.Balancers,
+		AgentsEach:          c.Agents,
+		HeapBytesPerProcess: float64(heap()-before) / float64(c.Balancers),
+	}
+	f.measureIdle(r)
+	return r, f.measureChanges(r)
+}
+
+func newFleet(c ControlConfig) (*fleet, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for the platform")
+	}
+	f := &fleet{
+		config: c,
+		store:  objectstore.New(1),
+		url:    "http://" + l.Addr().String(),
+	}
+	f.web = &http.Server{
+		Handler:           f.store,
+		ReadHeaderTimeout: time.Second,
+	}
+	go func() { _ = f.web.Serve(l) }()
+	for i := range c.Balancers {
+		if err := f.add(i); err != nil {
+			return f, err
+		}
+	}
+	f.agents = newHeartbeats(f.balancers, c.Agents)
+	return f, f.awaitReady()
+}
+
+func (f *fleet) add(i int) error {
+	name := fmt.Sprintf("balancer-%03d", i)
+	var seeds []string
+	for _, b := range f.balancers[:min(3, len(f.balancers))] {
+		seeds = append(seeds, b.Control())
+	}
+	b, err := balancer.NewRuntime(balancer.RuntimeConfig{
+		Config: balancer.Config{
+			Name:        name,
+			Region:      measureRegion,
+			Domain:      domain(i),
+			Incarnation: uint64(time.Now().UnixMicro()),
+			Packets:     "127.0.0.1:0",
+			Control:     "127.0.0.1:0",
+			Seeds:       seeds,
+			Lease: lease.Config{
+				Holder:  name,
+				TTL:     balancer.LeaseTTL,
+				Renew:   balancer.LeaseRenew,
+				Silence: balancer.LeaseSilence,
+			},
+		},
+		Platform: platform.New(platform.Config{
+			BaseURL: f.url,
+			Seed:    uint64(i),
+		}),
+		Log:   telemetry.NewLogger(io.Discard, "balancer", "error"),
+		Scope: tally.NoopScope,
+	})
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	f.balancers = append(f.balancers, b)
+	return nil
+}
+
+// awaitReady waits until all balancers hold the same roster with everybody.
+func (f *fleet) awaitReady() error {
+	want := f.config.Balancers * (f.config.Agents + 1)
+	end := time.Now().Add(readyWait)
+	for time.Now().Before(end) {
+		if f.agree(want) {
+			return nil
+		}
+		time.Sleep(readPause)
+	}
+	return ErrNotReady
+}
+
+// agree reports whether all balancers hold one version with all members.
+func (f *fleet) agree(members int) bool {
+	first := f.balancers[0].State()
+	for _, b := range f.balancers {
+		s := b.State()
+		if s.Version != first.Version || s.Members < members {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) measureIdle(r *Control) {
+	bytes := f.bytes()
+	calls := f.calls()
+	cpu := processorTime()
+	time.Sleep(f.config.Idle)
+	seconds := f.config.Idle.Seconds()
+	r.ProcessorShareMean = (processorTime() - cpu).Seconds() / seconds / float64(len(f.balancers))
+	r.PlatformPerSecond = float64(f.calls()-calls) / seconds
+	for i, n := range f.bytes() {
+		x := float64(n-bytes[i]) / seconds
+		r.BytesPerSecondMean += x / float64(len(f.balancers))
+		r.BytesPerSecondMax = max(r.BytesPerSecondMax, x)
+	}
+}
+
+// measureChanges makes changes one after the other and waits for each to be in
+// force everywhere.
+func (f *fleet) measureChanges(r *Control) error {
+	h := hdrhistogram.New(1, 60_000_000, 3)
+	s := intent.NewStore(platform.New(platform.Config{
+		BaseURL: f.url,
+	}), measureRegion)
+	idle := r.BytesPerSecondMean
+	started := time.Now()
+	before := f.bytes()
+	for i := range f.config.Changes {
+		d, err := f.change(s, i)
+		if err != nil {
+			return err
+		}
+		_ = h.RecordValue(d.Microseconds())
+	}
+	seconds := time.Since(started).Seconds()
+	total := 0.0
+	for i, n := range f.bytes() {
+		total += float64(n - before[i])
+	}
+	n := float64(max(1, f.config.Changes))
+	r.BytesPerChangeMean = max(0, total/float64(len(f.balancers))-idle*seconds) / n
+	r.InForceP50MS = float64(h.ValueAtQuantile(50)) / 1000
+	r.InForceP99MS = float64(h.ValueAtQuantile(99)) / 1000
+	r.InForceMaxMS = float64(h.Max()) / 1000
+	return nil
+}
+
+func (f *fleet) change(s *intent.Store, i int) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), inForceWait)
+	defer cancel()
+	base, err := s.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	o := &controlpb.Operation{
+		Id:      fmt.Sprint(i),
+		Author:  "measure",
+		Summary: "change one service",
+	}
+	held, err := s.Change(ctx, base, o, func(e *intent.Edit) error {
+		e.PutService(&controlpb.Service{
+			Name:      serviceName(i % 50),
+			Address:   fmt.Sprintf("10.64.0.%d:7000", i%50),
+			ColdShare: 0.1,
+			FlowLimit: uint32(1000 + i),
+		})
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	at := time.Now()
+	for f.lowestRevision() < held.Document.Revision && ctx.Err() == nil {
+		time.Sleep(inForcePause)
+	}
+	return time.Since(at), errors.Wrap(ctx.Err(), "change not in force")
+}
+
+func (f *fleet) lowestRevision() uint64 {
+	low := f.balancers[0].State().Revision
+	for _, b := range f.balancers {
+		low = min(low, b.State().Revision)
+	}
+	return low
+}
+
+func (f *fleet) bytes() []uint64 {
+	var l []uint64
+	for _, b := range f.balancers {
+		sent, received := b.ControlBytes()
+		l = append(l, sent+received)
+	}
+	return l
+}
+
+func (f *fleet) calls() uint64 {
+	c := f.store.Calls()
+	return c.Reads + c.Writes + c.Watches
+}
+
+func (f *fleet) close() {
+	if f.agents != nil {
+		f.agents.close()
+	}
+	for _, b := range f.balancers {
+		b.Close()
+	}
+	_ = f.web.Close()
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/measure/heartbeats.go
@@ -0,0 +1,97 @@
+package measure
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lentilshed/lentilshed/balancer"
+	"github.com/lentilshed/lentilshed/control"
+	"github.com/lentilshed/lentilshed/controlpb"
+)
+
+// agentPulse is the heartbeat period of agents.
+const agentPulse = 300 * time.Millisecond
+
+// heartbeats stands for the agents of many targets towards their balancers.
+type heartbeats struct {
+	dialers []*control.Dialer
+	stop    chan struct{}
+	wait    sync.WaitGroup
+}
+
+func newHeartbeats(l []*balancer.Runtime, each int) *heartbeats {
+	h := &heartbeats{
+		stop: make(chan struct{}),
+	}
+	n := 0
+	for _, b := range l {
+		for range each {
+			h.add(n, each*len(l), b.Control())
+			n++
+		}
+	}
+	return h
+}
+
+func (h *heartbeats) add(i, total int, address string) {
+	services := max(1, int(float64(total)/targetsPerAddress))
+	m := member(i, services)
+	d := control.NewDialer(control.Handler{
+		Hello: func() *controlpb.Hello {
+			return &controlpb.Hello{
+				Name:    m.GetTarget(),
+				Role:    "agent",
+				Service: m.GetService(),
+			}
+		},
+		Open: func(c *control.Conn) {
+			h.wait.Add(1)
+			go h.beat(c, m)
+		},
+		Message: func(*control.Conn, *controlpb.Envelope) {},
+		Close:   func(*control.Conn) {},
+	})
+	d.Set([]string{address})
+	h.dialers = append(h.dialers, d)
+}
+
+// beat announces one target and goes on with short heartbeats.
+func (h *heartbeats) beat(c *control.Conn, m *controlpb.Member) {
+	defer h.wait.Done()
+	ok := c.Send(&controlpb.Envelope{
+		Body: &controlpb.Envelope_Announce{
+			Announce: &controlpb.Announce{
+				Member: m,
+				// The versions of a follower that misses nothing.
+				IntentRevision: 1 << 62,
+				RosterVersion:  1 << 62,
+				Vitals:         &controlpb.Vitals{},
+			},
+		},
+	})
+	t := time.NewTicker(agentPulse)
+	defer t.Stop()
+	for ok {
+		select {
+		case <-h.stop:
+			return
+		case <-t.C:
+		}
+		ok = c.Send(&controlpb.Envelope{
+			Body: &controlpb.Envelope_Pulse{
+				Pulse: &controlpb.Pulse{
+					Active: 700,
+					Limit:  2000,
+				},
+			},
+		})
+	}
+}
+
+func (h *heartbeats) close() {
+	close(h.stop)
+	for _, d := range h.dialers {
+		d.Close()
+	}
+	h.wait.Wait()
+}
--- /dev/null
+++ b/measure/tables.go
@@ -0,0 +1,165 @@
+// Package measure measures how memory, processor time and messages grow with
+// the size of the system. docs/CAPACITY.md is worked out from its results.
+package measure
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/lentilshed/lentilshed/balancer"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/roster"
+	"github.com/lentilshed/lentilshed/service"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	targetsPerAddress = 150_000.0 / 44_000
+	domainsPerRegion  = 4
+	registrarTerm     = 1
+)
+
+// Tables is what the tables of one balancer take at one size.
+type Tables struct {
+	Targets       int     `json:"targets"`
+	Services      int     `json:"services"`
+	HeapBytes     uint64  `json:"heap_bytes"`
+	BuildMS       float64 `json:"build_all_ms"`
+	RosterBytes   int     `json:"whole_roster_bytes"`
+	IntentBytes   int     `json:"whole_intent_bytes"`
+	DeltaBytes    int     `json:"one_target_change_bytes"`
+	DeltaApplyUS  float64 `json:"one_target_change_us"`
+	DomainApplyMS float64 `json:"domain_out_ms"`
+}
+
+// world is the state that a balancer holds.
+type world struct {
+	document *intent.Document
+	roster   *roster.Roster
+	tables   map[string]*service.Table
+	routes   *balancer.Routes
+}
+
+// RunTables builds the state of a region with a number of targets.
+func RunTables(targets int) (*Tables, error) {
+	before := heap()
+	w := newWorld(targets)
+	started := time.Now()
+	w.buildAll()
+	t := &Tables{
+		Targets:   targets,
+		Services:  len(w.document.Services),
+		BuildMS:   milliseconds(time.Since(started)),
+		HeapBytes: heap() - before,
+	}
+	t.RosterBytes = proto.Size(w.roster.Since(0, ""))
+	t.IntentBytes = proto.Size(w.document.Since(0))
+	if err := w.measureChange(t); err != nil {
+		return nil, err
+	}
+	started = time.Now()
+	e := intent.NewEdit(w.document)
+	e.SetDomain(domain(0), true, started)
+	w.document = e.Done(&controlpb.Operation{})
+	w.buildAll()
+	t.DomainApplyMS = milliseconds(time.Since(started))
+	runtime.KeepAlive(w)
+	return t, nil
+}
+
+func newWorld(targets int) *world {
+	w := &world{
+		roster: roster.NewRoster(),
+		tables: map[string]*service.Table{},
+	}
+	e := intent.NewEdit(intent.NewDocument("region"))
+	services := max(1, int(float64(targets)/targetsPerAddress))
+	for i := range services {
+		e.PutService(&controlpb.Service{
+			Name:      serviceName(i),
+			Address:   fmt.Sprintf("10.%d.%d.%d:7000", 64+i>>16, i>>8&255, i&255),
+			ColdShare: 0.1,
+			WarmupMs:  30_000,
+			FlowLimit: 2000,
+		})
+	}
+	w.document = e.Done(&controlpb.Operation{})
+	g := roster.NewRegistrar(w.roster, registrarTerm, time.Now())
+	for i := range targets {
+		g.Claim(member(i, services), "balancer-1")
+	}
+	return w
+}
+
+func member(i, services int) *controlpb.Member {
+	return &controlpb.Member{
+		Target:         fmt.Sprintf("target-%06d", i),
+		Incarnation:    uint64(1_800_000_000_000_000 + i),
+		Service:        serviceName(i % services),
+		Domain:         domain(i / services),
+		PacketAddress:  fmt.Sprintf("10.%d.%d.%d:6081", i>>16, i>>8&255, i&255),
+		ControlAddress: fmt.Sprintf("10.%d.%d.%d:6200", i>>16, i>>8&255, i&255),
+		Weight:         2000,
+		State:          controlpb.MemberState_MEMBER_STATE_JOINED,
+	}
+}
+
+func serviceName(i int) string {
+	return fmt.Sprintf("service-%05d", i)
+}
+
+func domain(i int) string {
+	return fmt.Sprintf("domain-%d", i%domainsPerRegion)
+}
+
+func (w *world) buildAll() {
+	for n := range w.document.Services {
+		w.tables[n] = service.Build(n, w.document, w.roster)
+	}
+	w.routes = balancer.NewRoutes(w.tables, false)
+}
+
+// measureChange passes one restarted target from a registrar to a follower.
+func (w *world) measureChange(t *Tables) error {
+	const rounds = 100
+	total := time.Duration(0)
+	all := w.roster.Members()
+	for i := range rounds {
+		x := proto.CloneOf(all[i%len(all)])
+		x.Incarnation += uint64(i + 1)
+		x.Version = uint64(w.roster.Version) + 1
+		m := &controlpb.Roster{
+			Version: x.GetVersion(),
+			Base:    uint64(w.roster.Version),
+			Members: []*controlpb.Member{x},
+			Origin:  uint64(w.roster.Origin),
+		}
+		t.DeltaBytes = proto.Size(m)
+		started := time.Now()
+		touched, err := w.roster.Merge(m)
+		if err != nil {
+			return err
+		}
+		for _, n := range touched {
+			w.tables[n] = service.Build(n, w.document, w.roster)
+		}
+		w.routes = balancer.NewRoutes(w.tables, false)
+		total += time.Since(started)
+	}
+	t.DeltaApplyUS = float64(total.Microseconds()) / rounds
+	return nil
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -78,7 +78,7 @@
 
 // Since returns every member changed after a version, or the whole roster when
 // the version is not part of this roster's history. A service limits the result
-// to its members and the instances; empty gives all.
+// to its members and the instances; empty gives all. The order is not fixed.
 func (r *Roster) Since(v Version, service string) *controlpb.Roster {
 	if !r.descends(v) {
 		v = 0
@@ -88,7 +88,7 @@
 		Base:    uint64(v),
 		Origin:  uint64(r.Origin),
 	}
-	for _, x := range r.Members() {
+	for _, x := range r.members {
 		wanted := service == "" || x.GetService() == service || x.GetService() == Instances
 		if wanted && Version(x.GetVersion()) > v {
 			m.Members = append(m.Members, x)
@@ -97,6 +97,11 @@
 	return m
 }
 
+// Len returns the number of members, gone ones included.
+func (r *Roster) Len() int {
+	return len(r.members)
+}
+
 // descends reports whether a version is part of this roster's history.
 func (r *Roster) descends(v Version) bool {
 	if v.Term() == r.Version.Term() {
