--- a/balancer/model_test.go
+++ b/balancer/model_test.go
@@ -13,14 +13,14 @@
 
 var start = time.Unix(1_800_000_000, 0)
 
-func newTestModel(name string) *Model {
+func newTestModel() *Model {
 	return NewModel(Config{
-		Name:    name,
+		Name:    "b1",
 		Region:  "bayern",
 		Domain:  "nuernberg",
-		Control: name + ":1",
+		Control: "b1:1",
 		Lease: lease.Config{
-			Holder:  name,
+			Holder:  "b1",
 			TTL:     LeaseTTL,
 			Renew:   LeaseRenew,
 			Silence: LeaseSilence,
@@ -62,7 +62,7 @@
 }
 
 func TestIsolatedBalancerStopsSending(t *testing.T) {
-	m := newTestModel("b1")
+	m := newTestModel()
 	m.Update(start, OpenMsg{Conn: 1, Hello: &controlpb.Hello{Name: "b2", Role: roleBalancer}})
 	r := roster.NewRoster()
 	g := roster.NewRegistrar(r, 1, start)
@@ -86,7 +86,7 @@
 }
 
 func TestOlderDocumentIsIgnored(t *testing.T) {
-	m := newTestModel("b1")
+	m := newTestModel()
 	old := intent.NewDocument("bayern")
 	e := intent.NewEdit(old)
 	e.SetDomain("nuernberg", true, start)
@@ -101,7 +101,7 @@
 // TestReportedNeighbourIsAsked reports a balancer that is well: it is asked, its
 // claims come again, and none of its targets lapses.
 func TestReportedNeighbourIsAsked(t *testing.T) {
-	m := newTestModel("b1")
+	m := newTestModel()
 	becomeTestRegistrar(m, start)
 	require.True(t, m.Registrar())
 	now := start.Add(4 * time.Second)
@@ -135,7 +135,7 @@
 }
 
 func TestSilentTargetIsSuspectThenLapsed(t *testing.T) {
-	m := newTestModel("b1")
+	m := newTestModel()
 	becomeTestRegistrar(m, start)
 	now := start.Add(4 * time.Second)
 	m.Update(now, OpenMsg{Conn: 1, Hello: &controlpb.Hello{Name: "t1", Role: roleAgent, Service: "liedlive"}})
--- a/cmd/lentilshed/demo.go
+++ b/cmd/lentilshed/demo.go
@@ -18,6 +18,7 @@
 	logs        bool
 	connections int
 	flows       int
+	scenario    string
 }
 
 func newDemoCommand(out, errOut io.Writer) *cobra.Command {
@@ -37,6 +38,7 @@
 	c.Flags().BoolVar(&f.logs, "logs", false, "show the instances' logs")
 	c.Flags().IntVar(&f.connections, "connections", 2000, "flows that the fastest target bears")
 	c.Flags().IntVar(&f.flows, "flows", 3000, "live flows over all services")
+	c.Flags().StringVar(&f.scenario, "scenario", string(demo.ScenarioShift), "shift or steady")
 	return c
 }
 
@@ -47,7 +49,11 @@
 	if f.connections < 10 || f.flows < 1 {
 		return errors.New("--connections: must be at least 10, and --flows at least 1")
 	}
+	if f.scenario != string(demo.ScenarioShift) && f.scenario != string(demo.ScenarioSteady) {
+		return errors.Newf("--scenario: %q is neither shift nor steady", f.scenario)
+	}
 	o := demo.Options{
+		Scenario:    demo.Scenario(f.scenario),
 		Length:      time.Duration(f.seconds * float64(time.Second)),
 		Seed:        f.seed,
 		Faults:      f.faults,
--- a/cmd/lentilshed/measure.go
+++ b/cmd/lentilshed/measure.go
@@ -15,11 +15,11 @@
 		Use:   "measure",
 		Short: "Measure how memory, processor time and messages grow with size",
 	}
-	c.AddCommand(newRunTables(out), newRunControl(out))
+	c.AddCommand(newMeasureTables(out), newMeasureControl(out), newMeasureRaces(out))
 	return c
 }
 
-func newRunTables(out io.Writer) *cobra.Command {
+func newMeasureTables(out io.Writer) *cobra.Command {
 	var sizes []int
 	c := &cobra.Command{
 		Use:   "tables",
@@ -42,7 +42,7 @@
 	return c
 }
 
-func newRunControl(out io.Writer) *cobra.Command {
+func newMeasureControl(out io.Writer) *cobra.Command {
 	var sizes []int
 	var x measure.ControlConfig
 	c := &cobra.Command{
@@ -70,6 +70,28 @@
 	return c
 }
 
+func newMeasureRaces(out io.Writer) *cobra.Command {
+	var x measure.RacesConfig
+	c := &cobra.Command{
+		Use:   "races",
+		Short: "Let operators race through faults and check what became of each change",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			r, err := measure.RunRaces(x)
+			if err != nil {
+				return err
+			}
+			return writeLine(out, r)
+		},
+	}
+	c.Flags().IntVar(&x.Balancers, "balancers", 12, "number of balancers")
+	c.Flags().IntVar(&x.Operators, "operators", 6, "number of operators")
+	c.Flags().DurationVar(&x.Length, "length", 30*time.Second, "how long they race")
+	c.Flags().Uint64Var(&x.Seed, "seed", 1, "seed of everything random")
+	c.Flags().BoolVar(&x.Faults, "faults", false, "add outages, lost answers and restarts")
+	return c
+}
+
 func writeLine(out io.Writer, x any) error {
 	return errors.Wrap(json.NewEncoder(out).Encode(x), "write result")
 }
--- a/demo/load.go
+++ b/demo/load.go
@@ -21,6 +21,10 @@
 	rampShare = 0.12
 	// steadyFrom is the share of a run after which the first flows are open.
 	steadyFrom = 0.16
+	// settledFrom is the same for short flows, which must have learned speeds.
+	settledFrom   = 0.4
+	steadyLifeMin = 3 * time.Second
+	steadyLifeMax = 9 * time.Second
 )
 
 // load keeps the number of live flows near the wanted one.
@@ -52,14 +56,32 @@
 	n := x.IntN(len(r.regions))
 	g := r.regions[n]
 	s := g.deployment.Services[0]
-	if x.IntN(11) < 4 {
+	if x.Float64() < s1Share(g.deployment) {
 		s = g.deployment.Services[1]
 	}
-	life := lifeMin + x.Float64()*(lifeMax-lifeMin)
+	life := (lifeMin + x.Float64()*(lifeMax-lifeMin)) * float64(r.options.Length)
+	if r.options.Scenario == ScenarioSteady {
+		life = float64(steadyLifeMin) + x.Float64()*float64(steadyLifeMax-steadyLifeMin)
+	}
 	r.mu.Lock()
 	r.report.FlowsOpened++
 	r.mu.Unlock()
-	r.callers[n].Open(s.Name, netip.MustParseAddrPort(s.Address), time.Duration(life*float64(r.options.Length)))
+	r.callers[n].Open(s.Name, netip.MustParseAddrPort(s.Address), time.Duration(life))
+}
+
+// s1Share is the part of a region's capacity that its second service has.
+func s1Share(d Deployment) float64 {
+	a := speedOf(d.Services[0])
+	b := speedOf(d.Services[1])
+	return b / (a + b)
+}
+
+func speedOf(s Service) float64 {
+	sum := 0.0
+	for _, t := range s.Targets {
+		sum += t.Speed
+	}
+	return sum
 }
 
 // sample reads what the backend servers hold.
@@ -69,23 +91,30 @@
 	defer t.Stop()
 	for time.Since(r.started) < r.options.Length {
 		<-t.C
-		m := &r.changing
-		switch x := time.Since(r.started).Seconds() / r.options.Length.Seconds(); {
-		case x < steadyFrom:
-			continue
-		case x < shift()[0].at:
-			m = &r.steady
+		if m := r.meter(time.Since(r.started).Seconds() / r.options.Length.Seconds()); m != nil {
+			r.sampleInto(m)
 		}
-		r.sampleInto(m)
 	}
 }
 
+// meter returns what takes the samples at a share of the run, or nil.
+func (r *Run) meter(at float64) *imbalanceMeter {
+	steady := r.options.Scenario == ScenarioSteady
+	switch {
+	case at < steadyFrom || (steady && at < settledFrom):
+		return nil
+	case steady || at < shift()[0].at:
+		return &r.steady
+	}
+	return &r.changing
+}
+
 func (r *Run) sampleInto(m *imbalanceMeter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, g := range r.regions {
 		for _, s := range g.deployment.Services {
-			m.add(g.loads(s))
+			m.add(s.Name, g.loads(s))
 		}
 	}
 }
@@ -139,6 +168,7 @@
 	p.InForceP99MS = float64(r.inForce.ValueAtQuantile(99)) / 1000
 	p.InForceMaxMS = float64(r.inForce.Max()) / 1000
 	p.ImbalanceMaxOverMean = r.steady.mean()
+	p.ImbalanceWorst = r.steady.worst
 	p.ImbalanceChanging = r.changing.mean()
 }
 
--- a/demo/options.go
+++ b/demo/options.go
@@ -5,10 +5,22 @@
 	"time"
 )
 
+// Scenario is what a run plays.
+type Scenario string
+
+const (
+	// ScenarioShift is a shift change with planned changes and a crash.
+	ScenarioShift Scenario = "shift"
+	// ScenarioSteady is short flows at 70% of what all targets bear, without
+	// changes: speeds are unknown at first, and load must even out.
+	ScenarioSteady Scenario = "steady"
+)
+
 // Options say what a run plays.
 type Options struct {
-	Length time.Duration
-	Seed   uint64
+	Scenario Scenario
+	Length   time.Duration
+	Seed     uint64
 	// Faults turns on loss, duplication, reordering, balancer kills, a slow
 	// platform and lost answers.
 	Faults bool
@@ -32,4 +44,5 @@
 	settleWait  = 20 * time.Second
 	pollPeriod  = 5 * time.Millisecond
 	samplePause = 100 * time.Millisecond
+	steadyUse   = 0.7
 )
--- a/demo/report.go
+++ b/demo/report.go
@@ -29,6 +29,7 @@
 	InForceP99MS             float64  `json:"in_force_p99_ms"`
 	InForceMaxMS             float64  `json:"in_force_max_ms"`
 	ImbalanceMaxOverMean     float64  `json:"imbalance_max_over_mean"`
+	ImbalanceWorst           float64  `json:"imbalance_worst_window"`
 	ImbalanceChanging        float64  `json:"imbalance_during_changes"`
 	LeavingTookNewMS         int64    `json:"new_flows_at_leaving_target_last_ms"`
 	ControlBytesPerSecondMax float64  `json:"control_bytes_per_second_max_node"`
@@ -83,7 +84,8 @@
 	p("last new flow at a leaving target", "%d ms after acceptance", r.LeavingTookNewMS)
 	p("changes accepted / reverted", "%d / %d", r.ChangesAccepted, r.ChangesReverted)
 	p("acceptance to in force, p50 / p99 / max", "%.0f / %.0f / %.0f ms", r.InForceP50MS, r.InForceP99MS, r.InForceMaxMS)
-	p("imbalance, max over mean, before / in changes", "%.3f / %.3f", r.ImbalanceMaxOverMean, r.ImbalanceChanging)
+	p("imbalance, max over mean, steady / worst 10 s", "%.3f / %.3f", r.ImbalanceMaxOverMean, r.ImbalanceWorst)
+	p("imbalance during changes", "%.3f", r.ImbalanceChanging)
 	p("control bytes a second, busiest node", "%.0f", r.ControlBytesPerSecondMax)
 	p("platform calls a second", "%.1f", r.PlatformCallsPerSecond)
 	if len(r.Violations) == 0 {
--- a/demo/run.go
+++ b/demo/run.go
@@ -55,6 +55,9 @@
 // Start plays a whole run and returns its report. The error is ErrViolated
 // when a promise was broken.
 func Start(o Options) (*Report, error) {
+	if o.Scenario == ScenarioSteady {
+		o.Flows = steadyFlows(o)
+	}
 	r := &Run{
 		options: o,
 		store:   objectstore.New(o.Seed),
@@ -79,6 +82,17 @@
 	return &r.report, nil
 }
 
+// steadyFlows is the number of flows that use all targets at the steady share.
+func steadyFlows(o Options) int {
+	n := 0.0
+	for _, d := range Today() {
+		for _, s := range d.Services {
+			n += speedOf(s) * float64(o.Connections)
+		}
+	}
+	return int(n * steadyUse)
+}
+
 func (r *Run) start() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/demo/shift.go
+++ b/demo/shift.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// steps lists what the scenario plays.
+func (r *Run) steps() []step {
+	if r.options.Scenario == ScenarioSteady {
+		return nil
+	}
+	return shift()
+}
+
 // play opens flows, runs the steps and ends when the time is up.
 func (r *Run) play() error {
 	r.started = time.Now()
@@ -38,7 +46,7 @@
 	r.wait.Add(2)
 	go r.load()
 	go r.sample()
-	for _, s := range shift() {
+	for _, s := range r.steps() {
 		at := time.Duration(s.at * float64(r.options.Length))
 		time.Sleep(time.Until(r.started.Add(at)))
 		r.say("%s", s.name)
--- a/measure/control.go
+++ b/measure/control.go
@@ -26,6 +26,7 @@
 
 const (
 	measureRegion = "region"
+	seedCount     = 3
 	readyWait     = 60 * time.Second
 	readPause     = 20 * time.Millisecond
 	inForcePause  = time.Millisecond
@@ -112,22 +113,44 @@
 }
 
 func (f *fleet) add(i int) error {
+	b, err := f.start(i)
+	if err != nil {
+		return err
+	}
+	f.balancers = append(f.balancers, b)
+	return nil
+}
+
+// replace starts a new life of a balancer that was closed.
+func (f *fleet) replace(i int) error {
+	b, err := f.start(i)
+	if err != nil {
+		return err
+	}
+	f.balancers[i] = b
+	return nil
+}
+
+func (f *fleet) start(i int) (*balancer.Runtime, error) {
 	name := fmt.Sprintf("balancer-%03d", i)
+	life := uint64(time.Now().UnixMicro())
 	var seeds []string
-	for _, b := range f.balancers[:min(3, len(f.balancers))] {
-		seeds = append(seeds, b.Control())
+	for n, b := range f.balancers {
+		if n != i && len(seeds) < seedCount {
+			seeds = append(seeds, b.Control())
+		}
 	}
 	b, err := balancer.NewRuntime(balancer.RuntimeConfig{
 		Config: balancer.Config{
 			Name:        name,
 			Region:      measureRegion,
 			Domain:      domain(i),
-			Incarnation: uint64(time.Now().UnixMicro()),
+			Incarnation: life,
 			Packets:     "127.0.0.1:0",
 			Control:     "127.0.0.1:0",
 			Seeds:       seeds,
 			Lease: lease.Config{
-				Holder:  name,
+				Holder:  fmt.Sprintf("%s/%d", name, life),
 				TTL:     balancer.LeaseTTL,
 				Renew:   balancer.LeaseRenew,
 				Silence: balancer.LeaseSilence,
@@ -135,16 +158,12 @@
 		},
 		Platform: platform.New(platform.Config{
 			BaseURL: f.url,
-			Seed:    uint64(i),
+			Seed:    life,
 		}),
 		Log:   telemetry.NewLogger(io.Discard, "balancer", "error"),
 		Scope: tally.NoopScope,
 	})
-	if err != nil {
-		return errors.Wrap(err, name)
-	}
-	f.balancers = append(f.balancers, b)
-	return nil
+	return b, errors.Wrap(err, name)
 }
 
 // awaitReady waits until all balancers hold the same roster with everybody.
--- /dev/null
+++ b/measure/races.go
@@ -0,0 +1,330 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+// RacesConfig says what RunRaces plays.
+type RacesConfig struct {
+	Balancers int
+	Operators int
+	Length    time.Duration
+	Seed      uint64
+	// Faults adds outages, slow and lost answers, refusals and killed balancers.
+	Faults bool
+}
+
+// Races is what became of the changes of racing operators.
+type Races struct {
+	Balancers     int     `json:"balancers"`
+	Seed          uint64  `json:"seed"`
+	Faults        bool    `json:"faults"`
+	Accepted      int     `json:"changes_accepted"`
+	LostRaces     int     `json:"changes_lost_race"`
+	Unknown       int     `json:"changes_unknown"`
+	Lost          int     `json:"changes_lost"`
+	Reverted      int     `json:"changes_reverted"`
+	AppliedTwice  int     `json:"changes_applied_twice"`
+	InForceP50MS  float64 `json:"in_force_p50_ms"`
+	InForceP99MS  float64 `json:"in_force_p99_ms"`
+	InForceMaxMS  float64 `json:"in_force_max_ms"`
+	Outages       int     `json:"outages"`
+	Restarts      int     `json:"balancers_restarted"`
+	Disagreeing   int     `json:"instances_disagreeing_at_end"`
+	PlatformCalls float64 `json:"platform_calls_per_second"`
+	BytesMax      float64 `json:"control_bytes_per_second_max_node"`
+}
+
+// races is one run of racing operators.
+type races struct {
+	config RacesConfig
+	fleet  *fleet
+	ctx    context.Context //nolint:containedctx // It ends with the run.
+	mu     sync.Mutex
+	result Races
+	agreed map[string]uint64
+	// stored is the revision that the platform holds.
+	stored  uint64
+	waiting []waiting
+	inForce *hdrhistogram.Histogram
+}
+
+// waiting is an accepted change that is not yet in force everywhere.
+type waiting struct {
+	revision uint64
+	at       time.Time
+}
+
+const (
+	faultPeriod = 3 * time.Second
+	settleTime  = 8 * time.Second
+	raceDomains = 20
+	operatorMax = 120 * time.Millisecond
+)
+
+// RunRaces lets operators race for a time and checks what became of each change.
+func RunRaces(c RacesConfig) (*Races, error) {
+	f, err := newFleet(ControlConfig{
+		Balancers: c.Balancers,
+		Agents:    1,
+	})
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Length)
+	defer cancel()
+	r := &races{
+		config:  c,
+		fleet:   f,
+		ctx:     ctx,
+		agreed:  map[string]uint64{},
+		inForce: hdrhistogram.New(1, 600_000_000, 3),
+	}
+	return r.run()
+}
+
+func (r *races) run() (*Races, error) {
+	started := time.Now()
+	calls := r.fleet.calls()
+	r.fleet.store.OnWrite(r.wrote)
+	var w sync.WaitGroup
+	w.Add(r.config.Operators + 2)
+	for i := range r.config.Operators {
+		go func() {
+			defer w.Done()
+			r.operate(i)
+		}()
+	}
+	go func() {
+		defer w.Done()
+		r.fail()
+	}()
+	stop := make(chan struct{})
+	go func() {
+		defer w.Done()
+		r.watch(stop)
+	}()
+	<-r.ctx.Done()
+	r.fleet.store.SetFaults(objectstore.Faults{})
+	time.Sleep(settleTime)
+	close(stop)
+	w.Wait()
+	seconds := time.Since(started).Seconds()
+	r.result.PlatformCalls = float64(r.fleet.calls()-calls) / seconds
+	for _, n := range r.fleet.bytes() {
+		r.result.BytesMax = max(r.result.BytesMax, float64(n)/seconds)
+	}
+	return &r.result, r.judge()
+}
+
+// wrote checks each document that the platform takes: revisions rise by one, so
+// that no write undoes another.
+func (r *races) wrote(path string, value []byte) {
+	if path != intent.Kind+"/"+measureRegion {
+		return
+	}
+	m := &controlpb.Intent{}
+	err := protojson.Unmarshal(value, m)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil || m.GetRevision() != r.stored+1 {
+		r.result.Reverted++
+	}
+	r.stored = m.GetRevision()
+}
+
+// operate makes one operator's changes, one after the other.
+func (r *races) operate(operator int) {
+	x := rand.New(rand.NewPCG(r.config.Seed, uint64(operator)))
+	s := intent.NewStore(r.newClient(uint64(operator)), measureRegion)
+	for i := 0; r.ctx.Err() == nil; i++ {
+		time.Sleep(time.Duration(x.Int64N(int64(operatorMax))))
+		r.changeOnce(s, fmt.Sprintf("%d/%d", operator, i), fmt.Sprintf("domain-%d", x.IntN(raceDomains)))
+	}
+}
+
+func (r *races) changeOnce(s *intent.Store, id, domain string) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	seen, err := s.Read(ctx)
+	if err != nil {
+		return
+	}
+	out := !seen.Document.Out(domain)
+	h, err := s.Change(ctx, seen, &controlpb.Operation{
+		Id:      id,
+		Author:  "operator",
+		Summary: domain,
+	}, func(e *intent.Edit) error {
+		e.SetDomain(domain, out, time.Now())
+		return nil
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+		revision := h.Document.Operation(id).GetRevision()
+		r.agreed[id] = revision
+		r.result.Accepted++
+		r.waiting = append(r.waiting, waiting{
+			revision: revision,
+			at:       time.Now(),
+		})
+	case errors.Is(err, intent.ErrLostRace):
+		r.result.LostRaces++
+	default:
+		r.result.Unknown++
+	}
+}
+
+// fail plays one fault after the other.
+func (r *races) fail() {
+	x := rand.New(rand.NewPCG(r.config.Seed, 99))
+	for r.config.Faults && r.ctx.Err() == nil {
+		switch x.IntN(4) {
+		case 0:
+			r.fleet.store.SetFaults(objectstore.Faults{
+				Down: true,
+			})
+			r.count(&r.result.Outages)
+		case 1:
+			r.fleet.store.SetFaults(objectstore.Faults{
+				Delay:       300 * time.Millisecond,
+				LostAnswers: 0.3,
+			})
+		case 2:
+			r.fleet.store.SetFaults(objectstore.Faults{
+				LostAnswers:   0.2,
+				BrokenWatches: 0.3,
+				Throttled:     0.1,
+			})
+		default:
+			r.fleet.store.SetFaults(objectstore.Faults{})
+			r.restart(x.IntN(r.config.Balancers))
+		}
+		select {
+		case <-r.ctx.Done():
+		case <-time.After(faultPeriod):
+		}
+	}
+}
+
+// restart replaces one balancer; it may be the registrar.
+func (r *races) restart(i int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.balancers[i].Close()
+	if err := r.fleet.replace(i); err == nil {
+		r.result.Restarts++
+	}
+}
+
+func (r *races) count(n *int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*n++
+}
+
+// watch asserts that no instance goes back, and notes when changes are in force.
+func (r *races) watch(stop <-chan struct{}) {
+	seen := map[any]uint64{}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(inForcePause):
+		}
+		r.mu.Lock()
+		low := ^uint64(0)
+		for _, b := range r.fleet.balancers {
+			n := b.State().Revision
+			if n < seen[b] {
+				r.result.Reverted++
+			}
+			seen[b] = n
+			low = min(low, n)
+		}
+		r.settle(low)
+		r.mu.Unlock()
+	}
+}
+
+// settle notes the changes that every instance has.
+func (r *races) settle(low uint64) {
+	rest := r.waiting[:0]
+	for _, w := range r.waiting {
+		if w.revision > low {
+			rest = append(rest, w)
+			continue
+		}
+		_ = r.inForce.RecordValue(time.Since(w.at).Microseconds())
+	}
+	r.waiting = rest
+}
+
+// judge compares what was accepted with what the platform holds.
+func (r *races) judge() error {
+	h, err := intent.NewStore(r.newClient(0), measureRegion).Read(context.Background())
+	if err != nil {
+		return err
+	}
+	byRevision := map[uint64]string{}
+	for id, n := range r.agreed {
+		if byRevision[n] != "" {
+			r.result.AppliedTwice++
+		}
+		byRevision[n] = id
+	}
+	kept := map[string]int{}
+	for _, o := range h.Document.Operations {
+		kept[o.GetId()]++
+		if n, ok := r.agreed[o.GetId()]; ok && n != o.GetRevision() {
+			r.result.Lost++
+		}
+	}
+	for _, n := range kept {
+		if n > 1 {
+			r.result.AppliedTwice++
+		}
+	}
+	for _, n := range r.agreed {
+		if n > h.Document.Revision {
+			r.result.Lost++
+		}
+	}
+	r.result.Lost += len(r.waiting)
+	for _, b := range r.fleet.balancers {
+		if b.State().Revision != h.Document.Revision {
+			r.result.Disagreeing++
+		}
+	}
+	r.result.Balancers = r.config.Balancers
+	r.result.Seed = r.config.Seed
+	r.result.Faults = r.config.Faults
+	r.result.InForceP50MS = float64(r.inForce.ValueAtQuantile(50)) / 1000
+	r.result.InForceP99MS = float64(r.inForce.ValueAtQuantile(99)) / 1000
+	r.result.InForceMaxMS = float64(r.inForce.Max()) / 1000
+	return nil
+}
+
+func (r *races) newClient(seed uint64) *platform.Client {
+	return platform.New(platform.Config{
+		BaseURL: r.fleet.url,
+		Seed:    seed,
+	})
+}
--- a/standin/objectstore/server.go
+++ b/standin/objectstore/server.go
@@ -61,8 +61,7 @@
 	rand    *rand.Rand
 	reads   *rate.Limiter
 	writes  *rate.Limiter
-	// OnWrite is called after each write took effect, under the server's lock.
-	OnWrite func(path string, value []byte)
+	onWrite func(path string, value []byte)
 }
 
 type object struct {
@@ -92,6 +91,13 @@
 	}
 }
 
+// OnWrite calls f after each write took effect. It must not call the server.
+func (s *Server) OnWrite(f func(path string, value []byte)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onWrite = f
+}
+
 // Calls returns the counters.
 func (s *Server) Calls() Calls {
 	s.mu.Lock()
@@ -266,8 +272,8 @@
 			value:   value,
 		}
 	}
-	if s.OnWrite != nil {
-		s.OnWrite(p, value)
+	if s.onWrite != nil {
+		s.onWrite(p, value)
 	}
 	s.wake()
 	return s.next
