Test operators' statements, traces, the demo and the races; split large files

Change: statements run from a data file against a stand-in platform; spans of a balancer and an agent process must join under one trace; the demo plays a short shift with faults and its judge must find each violation; races run for 12 s. Agents leave a span for each packet of a sampled flow that they receive. The step named a restart only lets an agent leave, and says so.

--- a/agent/perform.go
+++ b/agent/perform.go
@@ -71,8 +71,8 @@
 		r.drops[packet.ReasonNoTarget].Inc(1)
 		return
 	}
-	if x.Meta.Sampled {
-		r.trace("agent.forward", x.Data, x.Meta, string(x.To))
+	if i, reason := packet.ParseInner(x.Data); x.Meta.Sampled && reason == packet.ReasonNone {
+		r.traceHop("agent.forward", &i, &x.Meta, attribute.String("next_hop", string(x.To)))
 	}
 	r.outMu.Lock()
 	defer r.outMu.Unlock()
@@ -86,12 +86,11 @@
 	}
 }
 
-func (r *Runtime) trace(name string, data []byte, m packet.Meta, to string) {
-	i, reason := packet.ParseInner(data)
-	if reason != packet.ReasonNone {
-		return
-	}
-	r.config.Tracer.Hop(i.Key.Trace(m.Service), name, attribute.String("flow", i.Key.String()), attribute.String("next_hop", to))
+// traceHop leaves a span of a sampled flow. The trace number comes from the flow
+// alone, so that the spans of balancers and agents join up.
+func (r *Runtime) traceHop(name string, i *packet.Inner, m *packet.Meta, more ...attribute.KeyValue) {
+	more = append(more, attribute.String("flow", i.Key.String()), attribute.Int("hops", int(m.Hops)))
+	r.config.Tracer.Hop(i.Key.Trace(m.Service), name, more...)
 }
 
 func (r *Runtime) sendSync(x SyncEffect) {
--- a/agent/runtime.go
+++ b/agent/runtime.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/control"
-	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/packet"
 	"github.com/lentilshed/lentilshed/target"
 	"github.com/lentilshed/lentilshed/tcpstack"
@@ -90,23 +89,6 @@
 	said     said
 }
 
-// State is a snapshot of a running agent for health, metrics and reports.
-type State struct {
-	Revision uint64
-	Version  uint64
-	Active   uint32
-	Limit    uint32
-	Capacity uint32
-	Away     int
-	Cold     bool
-	Fenced   bool
-	Joined   bool
-	Restarts uint32
-	Stats    Stats
-	// Waiting lists peers whose flows are not known yet.
-	Waiting []target.ID
-}
-
 // NewRuntime opens the sockets and starts all duties.
 func NewRuntime(c RuntimeConfig) (*Runtime, error) {
 	if c.Now == nil {
@@ -143,39 +125,6 @@
 	return r, nil
 }
 
-// Packets returns the address that takes packets from other instances.
-func (r *Runtime) Packets() netip.AddrPort {
-	a, _ := netip.ParseAddrPort(r.config.Packets)
-	return a
-}
-
-// Control returns the address of the control listener.
-func (r *Runtime) Control() string {
-	return r.server.Address()
-}
-
-// State returns the latest snapshot.
-func (r *Runtime) State() State {
-	return *r.state.Load()
-}
-
-// ControlBytes returns what control connections sent and received so far.
-func (r *Runtime) ControlBytes() (sent, received uint64) {
-	return r.bytes.Sent.Load(), r.bytes.Received.Load()
-}
-
-// Health returns nil while the target takes part in its service.
-func (r *Runtime) Health() error {
-	s := r.State()
-	switch {
-	case s.Fenced:
-		return ErrFenced
-	case !s.Joined:
-		return ErrNotJoined
-	}
-	return nil
-}
-
 // Leave takes no new flows and waits until the open ones have ended or the
 // context is done. It returns the number of flows that are left.
 func (r *Runtime) Leave(ctx context.Context) int {
@@ -215,13 +164,6 @@
 	})
 }
 
-var (
-	// ErrFenced is the health of an agent that a newer life has replaced.
-	ErrFenced = errors.New("fenced by a newer life of this target")
-	// ErrNotJoined is the health of an agent that is not in the roster.
-	ErrNotJoined = errors.New("not in the roster yet")
-)
-
 func (r *Runtime) open() error {
 	a, err := netip.ParseAddrPort(r.config.Packets)
 	if err != nil {
@@ -336,71 +278,3 @@
 		r.update(next)
 	}
 }
-
-// read takes packets from the socket.
-func (r *Runtime) read() {
-	defer r.wait.Done()
-	b := make([]byte, packet.MaxSize+1)
-	for {
-		n, _, err := r.socket.ReadFromUDPAddrPort(b)
-		if err != nil {
-			return
-		}
-		if reason := r.readOne(b[:n]); reason != packet.ReasonNone {
-			r.drops[reason].Inc(1)
-		}
-	}
-}
-
-func (r *Runtime) readOne(b []byte) packet.Reason {
-	m, p, reason := r.codec.Decode(b)
-	if reason != packet.ReasonNone {
-		return reason
-	}
-	i, reason := packet.ParseInner(p)
-	if reason != packet.ReasonNone {
-		return reason
-	}
-	x := PacketMsg{
-		Meta:  m,
-		Inner: i,
-		Data:  append([]byte(nil), p...),
-	}
-	select {
-	case r.packets <- x:
-		return packet.ReasonNone
-	default:
-		return packet.ReasonQueueFull
-	}
-}
-
-// output sends a packet of the TCP stack straight to the fabric.
-func (r *Runtime) output(b []byte) {
-	r.outMu.Lock()
-	defer r.outMu.Unlock()
-	d, reason := r.outCodec.EncodePlain(b)
-	if reason != packet.ReasonNone {
-		return
-	}
-	_ = r.config.Send(r.socket, d, r.config.Fabric)
-}
-
-func (r *Runtime) hello(role string) *controlpb.Hello {
-	c := &r.config.Config
-	s := r.State()
-	return &controlpb.Hello{
-		Name:           string(c.Self),
-		Domain:         c.Domain,
-		Region:         r.config.Region,
-		Role:           role,
-		ControlAddress: r.config.Control,
-		IntentRevision: s.Revision,
-		RosterVersion:  s.Version,
-		Service:        c.Service,
-	}
-}
-
-func sendNow(s *net.UDPConn, b []byte, to netip.AddrPort) error {
-	_, err := s.WriteToUDPAddrPort(b, to)
-	return err //nolint:wrapcheck // The caller only counts it.
-}
--- /dev/null
+++ b/agent/state.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/target"
+)
+
+var (
+	// ErrFenced is the health of an agent that a newer life has replaced.
+	ErrFenced = errors.New("fenced by a newer life of this target")
+	// ErrNotJoined is the health of an agent that is not in the roster.
+	ErrNotJoined = errors.New("not in the roster yet")
+)
+
+// State is a snapshot of a running agent for health, metrics and reports.
+type State struct {
+	Revision uint64
+	Version  uint64
+	Active   uint32
+	Limit    uint32
+	Capacity uint32
+	Away     int
+	Cold     bool
+	Fenced   bool
+	Joined   bool
+	Restarts uint32
+	Stats    Stats
+	// Waiting lists peers whose flows are not known yet.
+	Waiting []target.ID
+}
+
+// Packets returns the address that takes packets from other instances.
+func (r *Runtime) Packets() netip.AddrPort {
+	a, _ := netip.ParseAddrPort(r.config.Packets)
+	return a
+}
+
+// Control returns the address of the control listener.
+func (r *Runtime) Control() string {
+	return r.server.Address()
+}
+
+// State returns the latest snapshot.
+func (r *Runtime) State() State {
+	return *r.state.Load()
+}
+
+// ControlBytes returns what control connections sent and received so far.
+func (r *Runtime) ControlBytes() (sent, received uint64) {
+	return r.bytes.Sent.Load(), r.bytes.Received.Load()
+}
+
+// Health returns nil while the target takes part in its service.
+func (r *Runtime) Health() error {
+	s := r.State()
+	switch {
+	case s.Fenced:
+		return ErrFenced
+	case !s.Joined:
+		return ErrNotJoined
+	}
+	return nil
+}
+
+func (r *Runtime) hello(role string) *controlpb.Hello {
+	c := &r.config.Config
+	s := r.State()
+	return &controlpb.Hello{
+		Name:           string(c.Self),
+		Domain:         c.Domain,
+		Region:         r.config.Region,
+		Role:           role,
+		ControlAddress: r.config.Control,
+		IntentRevision: s.Revision,
+		RosterVersion:  s.Version,
+		Service:        c.Service,
+	}
+}
--- /dev/null
+++ b/agent/sync.go
@@ -0,0 +1,169 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/service"
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// behind reports whether a peer has listed its flows under a newer table.
+func (m *Model) behind() bool {
+	return !m.Vector().Covers(m.ahead)
+}
+
+// complete reports whether the flows of every peer are known under the table in
+// force, so that a flow unknown here is unknown everywhere.
+func (m *Model) complete() bool {
+	for i := range m.table.Targets {
+		if p := m.watched(&m.table.Targets[i]); p != nil && !p.answered(m.table.Vector) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayOpen reports whether a new flow may be placed: every peer that is not
+// suspect has answered or had time to.
+func (m *Model) mayOpen(now time.Time) bool {
+	for i := range m.table.Targets {
+		t := &m.table.Targets[i]
+		p := m.watched(t)
+		if p == nil || t.Suspect || p.answered(m.table.Vector) {
+			continue
+		}
+		if now.Sub(m.adoptedAt) < syncTimeout || now.Sub(p.since) < syncTimeout {
+			return false
+		}
+	}
+	return true
+}
+
+// Waiting lists the peers whose flows are not known under the table in force.
+func (m *Model) Waiting() []target.ID {
+	if m.table == nil {
+		return nil
+	}
+	var l []target.ID
+	for i := range m.table.Targets {
+		t := &m.table.Targets[i]
+		if p := m.watched(t); p != nil && !p.answered(m.table.Vector) {
+			l = append(l, t.ID)
+		}
+	}
+	return l
+}
+
+// watched returns the peer behind a target whose flows matter, or nil.
+func (m *Model) watched(t *service.Target) *peer {
+	if t.ID == m.config.Self || t.Out {
+		return nil
+	}
+	return m.peers[t.ID]
+}
+
+// repeatRequests asks peers that have not answered.
+func (m *Model) repeatRequests(now time.Time) {
+	if m.table == nil || m.self == nil || m.fenced {
+		return
+	}
+	for i := range m.table.Targets {
+		t := &m.table.Targets[i]
+		p := m.watched(t)
+		if p == nil || p.answered(m.table.Vector) || now.Sub(p.askedAt) < syncRetry {
+			continue
+		}
+		if !p.needFull && now.Sub(m.adoptedAt) < syncGrace {
+			continue
+		}
+		p.askedAt = now
+		m.emit(SyncRequestEffect{
+			To:     t.ID,
+			Vector: m.table.Vector,
+			Full:   p.needFull,
+		})
+	}
+}
+
+func (m *Model) syncRequest(x SyncRequestMsg) {
+	if !m.Vector().Covers(x.Vector) {
+		m.owed[x.From] = x
+		m.emit(WantEffect{})
+		return
+	}
+	m.answerSync(x)
+}
+
+func (m *Model) answerOwed() {
+	for id, x := range m.owed {
+		if m.table.Vector.Covers(x.Vector) {
+			delete(m.owed, id)
+			m.answerSync(x)
+		}
+	}
+}
+
+// answerSync answers a peer, with the flows that live here and have their home
+// there if it asks for the whole list.
+func (m *Model) answerSync(x SyncRequestMsg) {
+	if m.table == nil {
+		return
+	}
+	var keys []flow.Key
+	if x.Full {
+		keys = m.flowsOf(x.From)
+	}
+	m.emitSync(x.From, keys, x.Full)
+}
+
+// flowsOf lists the open local flows that have their home at a target.
+func (m *Model) flowsOf(id target.ID) []flow.Key {
+	var keys []flow.Key
+	for k, f := range m.flows {
+		if f.state == flowClosing {
+			continue
+		}
+		if h, ok := m.home(k); ok && h.ID == id {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+func (m *Model) emitSync(to target.ID, keys []flow.Key, full bool) {
+	slices.SortFunc(keys, compareKeys)
+	m.stats.ControlFlows += uint64(len(keys))
+	m.emit(SyncEffect{
+		To:     to,
+		Vector: m.table.Vector,
+		Flows:  keys,
+		Full:   full,
+	})
+}
+
+// sync notes what a peer holds.
+func (m *Model) sync(now time.Time, x SyncMsg) {
+	m.peer(x.From, now).heardSync(x)
+	m.ahead = m.ahead.Join(x.Vector)
+	if m.behind() {
+		m.emit(WantEffect{})
+	}
+	if x.Full {
+		m.forgetFlowsAt(x.From)
+	}
+	for _, k := range x.Flows {
+		m.confirm(now, k, x.From)
+	}
+	m.flushHeld(now)
+}
+
+// forgetFlowsAt drops the confirmed flows of a peer that is about to list them.
+func (m *Model) forgetFlowsAt(id target.ID) {
+	for k, a := range m.away {
+		if a.target == id && a.confirmed {
+			delete(m.away, k)
+		}
+	}
+}
--- a/demo/load.go
+++ b/demo/load.go
@@ -33,7 +33,7 @@
 	x := rand.New(rand.NewPCG(r.options.Seed, 6))
 	t := time.NewTicker(openTick)
 	defer t.Stop()
-	perTick := float64(r.options.Flows) / (rampShare * r.options.Length.Seconds()) * openTick.Seconds()
+	perTick := float64(r.options.Flows) / r.rampTime().Seconds() * openTick.Seconds()
 	credit := 0.0
 	for time.Since(r.started) < r.options.Length {
 		<-t.C
@@ -51,6 +51,15 @@
 	}
 }
 
+// rampTime is the time in which the wanted flows are opened. Short flows must be
+// opened faster than they end.
+func (r *Run) rampTime() time.Duration {
+	if r.options.Scenario == ScenarioSteady {
+		return steadyLifeMin
+	}
+	return time.Duration(rampShare * float64(r.options.Length))
+}
+
 // openOne opens a flow of a service drawn by what its targets bear.
 func (r *Run) openOne(x *rand.Rand) {
 	n := x.IntN(len(r.regions))
--- a/demo/report.go
+++ b/demo/report.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// ratio formats a ratio that may not have been measured.
+func ratio(x float64) string {
+	if x == 0 {
+		return "not measured"
+	}
+	return fmt.Sprintf("%.3f", x)
+}
+
 // Write prints the report for people.
 func (r *Report) Write(w io.Writer) {
 	p := func(name, format string, values ...any) {
@@ -84,8 +92,8 @@
 	p("last new flow at a leaving target", "%d ms after acceptance", r.LeavingTookNewMS)
 	p("changes accepted / reverted", "%d / %d", r.ChangesAccepted, r.ChangesReverted)
 	p("acceptance to in force, p50 / p99 / max", "%.0f / %.0f / %.0f ms", r.InForceP50MS, r.InForceP99MS, r.InForceMaxMS)
-	p("imbalance, max over mean, steady / worst 10 s", "%.3f / %.3f", r.ImbalanceMaxOverMean, r.ImbalanceWorst)
-	p("imbalance during changes", "%.3f", r.ImbalanceChanging)
+	p("imbalance, max over mean, steady / worst 10 s", "%s / %s", ratio(r.ImbalanceMaxOverMean), ratio(r.ImbalanceWorst))
+	p("imbalance during changes", "%s", ratio(r.ImbalanceChanging))
 	p("control bytes a second, busiest node", "%.0f", r.ControlBytesPerSecondMax)
 	p("platform calls a second", "%.1f", r.PlatformCallsPerSecond)
 	if len(r.Violations) == 0 {
--- /dev/null
+++ b/demo/run_test.go
@@ -0,0 +1,45 @@
+package demo
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestShiftHoldsThroughFaults plays a short shift change with a lossy network
+// and a failing platform. A violated promise fails it.
+func TestShiftHoldsThroughFaults(t *testing.T) {
+	r, err := Start(Options{
+		Scenario:    ScenarioShift,
+		Length:      15 * time.Second,
+		Seed:        3,
+		Faults:      true,
+		Connections: 400,
+		Flows:       400,
+	})
+	require.NoError(t, err, "%+v", r)
+	require.Positive(t, r.FlowsOpened)
+	require.Positive(t, r.BrokenDomainOut, "the domain taken out held flows")
+	require.Positive(t, r.BrokenCrashed, "the crashed targets held flows")
+}
+
+// TestJudgeFindsEachViolation breaks each promise in a report of its own.
+func TestJudgeFindsEachViolation(t *testing.T) {
+	for _, r := range []*Report{
+		{BrokenPlanned: 1},
+		{Misdelivered: 1},
+		{ColdOverloads: 1},
+		{PacketsIntoDomainOutMS: domainOutLimit + 1},
+		{LeavingTookNewMS: leavingLimit + 1},
+		{ChangesReverted: 1},
+		{InForceMaxMS: inForceLimit + 1},
+		{InternalViolations: 1},
+	} {
+		r.judge()
+		require.Len(t, r.Violations, 1)
+	}
+	r := &Report{}
+	r.judge()
+	require.Empty(t, r.Violations)
+}
--- a/demo/shift.go
+++ b/demo/shift.go
@@ -24,7 +24,7 @@
 		{0.36, "replace one balancer of each region", (*Run).replaceBalancers},
 		{0.44, "take one failure domain of each region out", (*Run).takeOut},
 		{0.60, "bring the failure domains back", (*Run).bringBack},
-		{0.72, "restart one agent of each region gracefully", (*Run).leaveAndJoin},
+		{0.72, "let one agent of each region leave", (*Run).leave},
 		{0.80, "crash one target of each region", (*Run).crashTargets},
 		{0.86, "bring the crashed targets back", (*Run).restartTargets},
 	}
@@ -110,8 +110,8 @@
 // drained is the target that a run drains.
 func (g *region) drained() Target { return g.deployment.Services[0].Targets[1] }
 
-// restarted is the target that a run restarts gracefully.
-func (g *region) restarted() Target { return g.deployment.Services[0].Targets[2] }
+// leaving is the target whose agent a run tells to leave.
+func (g *region) leaving() Target { return g.deployment.Services[0].Targets[2] }
 
 // crashed is the target that a run crashes.
 func (g *region) crashed() Target { return g.deployment.Services[0].Targets[3] }
@@ -213,12 +213,11 @@
 	})
 }
 
-// leaveAndJoin waits for the flows of an agent to end within its stop timeout.
-// The callers of this demo keep theirs, so those are let live: the agent is
-// told to leave, and takes part again before its flows are cut.
-func (r *Run) leaveAndJoin() error {
+// leave tells an agent to take no new flow. Its flows live on; the callers of
+// this demo keep them longer than a stop timeout would.
+func (r *Run) leave() error {
 	return r.eachRegion(func(g *region) error {
-		t := g.restarted()
+		t := g.leaving()
 		g.mu.Lock()
 		a := g.agents[t.Name]
 		g.mu.Unlock()
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -168,6 +168,7 @@
 func (c *cluster) start(name, role, text, admin string) *process {
 	dir, err := binaries()
 	require.NoError(c.t, err)
+	text += fmt.Sprintf("[trace]\none_in = 1\nfile = %q\n", c.traceFile(name))
 	path := filepath.Join(c.dir, name+".toml")
 	require.NoError(c.t, os.WriteFile(path, []byte(text), 0o600))
 	p := &process{
@@ -186,6 +187,11 @@
 	return p
 }
 
+// traceFile is where a process leaves its spans.
+func (c *cluster) traceFile(name string) string {
+	return filepath.Join(c.dir, name+".spans")
+}
+
 // removeBalancer takes a balancer out of the fabric's spray and kills it.
 func (c *cluster) removeBalancer(name string) {
 	p := c.balancers[name]
--- a/intent/store.go
+++ b/intent/store.go
@@ -88,9 +88,9 @@
 		return base, ErrNoChange
 	}
 	next := e.Done(o)
-	b, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(next.Since(0))
+	b, err := Encode(next)
 	if err != nil {
-		return Held{}, errors.Wrap(err, "encode intent")
+		return Held{}, err
 	}
 	for i := 0; ; i++ {
 		v, err := s.client.Put(ctx, s.key(), b, base.Version)
@@ -142,6 +142,12 @@
 	}
 }
 
+// Encode returns the JSON form that the platform stores.
+func Encode(d *Document) ([]byte, error) {
+	b, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(d.Since(0))
+	return b, errors.Wrap(err, "encode intent")
+}
+
 func decode(o platform.Object) (Held, error) {
 	m := &controlpb.Intent{}
 	if err := protojson.Unmarshal(o.Value, m); err != nil {
--- /dev/null
+++ b/measure/races_test.go
@@ -0,0 +1,25 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRacesKeepEveryChange lets operators race through faults for a short time.
+func TestRacesKeepEveryChange(t *testing.T) {
+	r, err := RunRaces(RacesConfig{
+		Balancers: 5,
+		Operators: 4,
+		Length:    12 * time.Second,
+		Seed:      5,
+		Faults:    true,
+	})
+	require.NoError(t, err)
+	require.Positive(t, r.Accepted)
+	require.Zero(t, r.Lost)
+	require.Zero(t, r.Reverted)
+	require.Zero(t, r.AppliedTwice)
+	require.Zero(t, r.Disagreeing)
+}
--- a/measure/tables.go
+++ b/measure/tables.go
@@ -29,6 +29,8 @@
 	BuildMS       float64 `json:"build_all_ms"`
 	RosterBytes   int     `json:"whole_roster_bytes"`
 	IntentBytes   int     `json:"whole_intent_bytes"`
+	StoredBytes   int     `json:"stored_intent_bytes"`
+	FlowKeyBytes  int     `json:"one_flow_key_bytes"`
 	DeltaBytes    int     `json:"one_target_change_bytes"`
 	DeltaApplyUS  float64 `json:"one_target_change_us"`
 	DomainApplyMS float64 `json:"domain_out_ms"`
@@ -56,6 +58,17 @@
 	}
 	t.RosterBytes = proto.Size(w.roster.Since(0, ""))
 	t.IntentBytes = proto.Size(w.document.Since(0))
+	t.FlowKeyBytes = proto.Size(&controlpb.Sync{
+		Flows: []*controlpb.FlowKey{{
+			Source:     0x64400001,
+			SourcePort: 40_000,
+		}},
+	})
+	b, err := intent.Encode(w.document)
+	if err != nil {
+		return nil, err
+	}
+	t.StoredBytes = len(b)
 	if err := w.measureChange(t); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/operator/session_test.go
@@ -0,0 +1,139 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/fleet"
+	"github.com/lentilshed/lentilshed/intent"
+	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"github.com/stretchr/testify/require"
+)
+
+// desk is a session with a platform and a fleet of its own.
+type desk struct {
+	session *Session
+	out     *bytes.Buffer
+	dir     string
+}
+
+func newDesk(t *testing.T, o Output) *desk {
+	t.Helper()
+	w := httptest.NewServer(objectstore.New(1))
+	t.Cleanup(w.Close)
+	d := &desk{
+		out: &bytes.Buffer{},
+		dir: t.TempDir(),
+	}
+	d.session = New(Config{
+		Client: platform.New(platform.Config{BaseURL: w.URL}),
+		Region: "bayern",
+		Author: "anna",
+		Output: o,
+		Out:    d.out,
+		Now:    func() time.Time { return time.Unix(1_800_000_000, 0) },
+		Fleet: func(context.Context) (*fleet.Snapshot, error) {
+			return testFleet(), nil
+		},
+	})
+	return d
+}
+
+func testFleet() *fleet.Snapshot {
+	target := func(id, domain string, state controlpb.MemberState) *controlpb.Member {
+		return &controlpb.Member{
+			Target:  id,
+			Service: "liedlive",
+			Domain:  domain,
+			State:   state,
+		}
+	}
+	return &fleet.Snapshot{
+		Registrar: "balancer-1",
+		Instances: []*controlpb.Instance{
+			{Name: "balancer-1", Role: "balancer", Domain: "nuernberg", IntentRevision: 99},
+			{Name: "liedlive-1", Role: "agent", IntentRevision: 99, Vitals: &controlpb.Vitals{Active: 40, Limit: 100, Capacity: 100}},
+			{Name: "liedlive-2", Role: "agent", IntentRevision: 0, Vitals: &controlpb.Vitals{Active: 12, Limit: 50, Capacity: 100, Cold: true}},
+		},
+		Members: []*controlpb.Member{
+			target("liedlive-1", "nuernberg", controlpb.MemberState_MEMBER_STATE_JOINED),
+			target("liedlive-2", "regensburg", controlpb.MemberState_MEMBER_STATE_JOINED),
+			target("liedlive-3", "regensburg", controlpb.MemberState_MEMBER_STATE_SUSPECT),
+		},
+		Silent: []string{"balancer-2"},
+	}
+}
+
+// TestStatements runs the statements of data files in sessions of their own.
+// "declare" writes a file of declarations, "plan" and "apply" use it.
+func TestStatements(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		d := newDesk(t, OutputText)
+		datadriven.RunTest(t, path, func(t *testing.T, x *datadriven.TestData) string {
+			d.out.Reset()
+			if err := d.run(t, x); err != nil {
+				message := strings.ReplaceAll(err.Error(), d.dir, "DIR")
+				return d.out.String() + "error: " + message + "\n"
+			}
+			return d.out.String()
+		})
+	})
+}
+
+func (d *desk) run(t *testing.T, x *datadriven.TestData) error {
+	switch x.Cmd {
+	case "declare":
+		require.NoError(t, os.WriteFile(filepath.Join(d.dir, "a.toml"), []byte(x.Input), 0o600))
+		return nil
+	case "plan":
+		return d.session.Plan(t.Context(), d.dir)
+	case "apply":
+		return d.session.Apply(t.Context(), d.dir)
+	}
+	for _, l := range strings.Split(x.Input, "\n") {
+		if err := d.session.Do(t.Context(), l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestJSONOutput(t *testing.T) {
+	d := newDesk(t, OutputJSON)
+	require.NoError(t, d.session.Do(t.Context(), "take out domain nuernberg"))
+	require.JSONEq(t, `{"accepted":"take out domain nuernberg","revision":1}`, d.out.String())
+	d.out.Reset()
+	require.NoError(t, d.session.Do(t.Context(), "show domains where state = out"))
+	require.JSONEq(t, `[{"domain":"nuernberg","flows":"40","since":"2027-01-15 08:00:00","state":"out","targets":"1"}]`, d.out.String())
+}
+
+func TestWaitSaysWhoIsBehind(t *testing.T) {
+	d := newDesk(t, OutputText)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, d.session.Wait(ctx, 5), ErrNotInForce)
+	require.Equal(t, "revision 5 is in force on 2 of 4 instances\n", d.out.String())
+}
+
+// TestApplyLosesItsRace changes the state between plan and write.
+func TestApplyLosesItsRace(t *testing.T) {
+	d := newDesk(t, OutputText)
+	seen, err := d.session.Read(t.Context())
+	require.NoError(t, err)
+	require.NoError(t, d.session.Do(t.Context(), "take out domain nuernberg"))
+	err = d.session.ChangeFrom(t.Context(), seen, "late", func(e *intent.Edit) error {
+		e.SetDomain("regensburg", true, time.Now())
+		return nil
+	})
+	require.ErrorIs(t, err, intent.ErrLostRace)
+	require.ErrorContains(t, err, "by anna")
+}
