Mend an example that compared a value with itself

Cause: the linter found that the example of flow.NewKey could not fail there. Change: the example prints the key and that its bucket is in range.

--- a/flow/example_test.go
+++ b/flow/example_test.go
@@ -9,8 +9,8 @@
 
 func ExampleNewKey() {
 	k := flow.NewKey(netip.MustParseAddrPort("100.64.0.7:40112"))
-	fmt.Println(k, k.Bucket(1, 256) == k.Bucket(1, 256), k.Bucket(1, 256) < 256)
-	// Output: 100.64.0.7:40112 true true
+	fmt.Println(k, k.Bucket(1, 256) < 256)
+	// Output: 100.64.0.7:40112 true
 }
 
 func ExampleNewKey_ipv6() {
