Pass an accepted change on from the operator's side

Ruled out: slow spreading. Only the operator's tool knew of the change.

Change: lentilctl finds the registrar before it writes and passes the accepted delta to it afterwards; the registrar spreads it as it would its own. TestChangeThatNoInstanceSaw cuts all processes off from the platform first: it fails without the call (flows of the domain live on for 20 s) and passes with it. Tests for control connections and the platform's client; fuzzing of packets (15 s) and statements (10 s) found nothing.

Conclusion: the writer is one more instance that has heard.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,22 +55,52 @@
 	return nil
 }
 
-// Read finds the registrar by its lease and asks every balancer of the region.
-func Read(ctx context.Context, c *platform.Client, region string) (*Snapshot, error) {
+// Find returns the control address of the registrar, from its lease.
+func Find(ctx context.Context, c *platform.Client, region string) (string, error) {
 	o, err := c.Get(ctx, platform.Key{
 		Kind: balancer.LeaseKind,
 		Name: region,
 	})
 	if err != nil {
-		return nil, errors.Wrap(err, "read the registrar's lease")
+		return "", errors.Wrap(err, "read the registrar's lease")
 	}
 	var r lease.Record
 	if err := json.Unmarshal(o.Value, &r); err != nil {
-		return nil, errors.Wrap(err, "read the registrar's lease")
+		return "", errors.Wrap(err, "read the registrar's lease")
+	}
+	return r.Address, nil
+}
+
+// Tell passes an accepted change to the balancer at an address and waits until
+// it is in force there. The balancer spreads it, also when the platform went down
+// before any instance had heard of the change.
+func Tell(ctx context.Context, address string, x *controlpb.Intent) error {
+	if address == "" {
+		return ErrNoRegistrar
+	}
+	s, err := ask(ctx, address, &controlpb.Envelope{
+		Body: &controlpb.Envelope_Intent{
+			Intent: x,
+		},
+	})
+	if err != nil {
+		return failure.Mark(err, ErrNoRegistrar)
 	}
-	first, err := ask(ctx, r.Address)
+	if s.GetIntentRevision() < x.GetRevision() {
+		return errors.Wrapf(ErrNoRegistrar, "%s is behind", address)
+	}
+	return nil
+}
+
+// Read finds the registrar by its lease and asks every balancer of the region.
+func Read(ctx context.Context, c *platform.Client, region string) (*Snapshot, error) {
+	address, err := Find(ctx, c, region)
+	if err != nil {
+		return nil, err
+	}
+	first, err := ask(ctx, address, nil)
 	if err != nil {
-		return nil, failure.Mark(errors.Wrapf(err, "ask %s at %s", r.Holder, r.Address), ErrNoRegistrar)
+		return nil, failure.Mark(errors.Wrapf(err, "ask the registrar at %s", address), ErrNoRegistrar)
 	}
 	s := &Snapshot{
 		Registrar: first.GetRegistrar(),
@@ -78,7 +108,7 @@
 		Members:   first.GetMembers(),
 	}
 	s.add(first)
-	s.askOthers(ctx, r.Address)
+	s.askOthers(ctx, address)
 	slices.SortFunc(s.Instances, func(a, b *controlpb.Instance) int { return strings.Compare(a.GetName(), b.GetName()) })
 	return s, nil
 }
@@ -89,7 +119,7 @@
 		if m.GetService() != roster.Instances || gone || m.GetControlAddress() == asked {
 			continue
 		}
-		x, err := ask(ctx, m.GetControlAddress())
+		x, err := ask(ctx, m.GetControlAddress(), nil)
 		if err != nil {
 			s.Silent = append(s.Silent, m.GetTarget())
 			continue
@@ -112,8 +142,8 @@
 	}
 }
 
-// ask sends one status request.
-func ask(ctx context.Context, address string) (*controlpb.Status, error) {
+// ask sends one status request, after another message if there is one.
+func ask(ctx context.Context, address string, before *controlpb.Envelope) (*controlpb.Status, error) {
 	answer := make(chan *controlpb.Status, 1)
 	d := control.NewDialer(control.Handler{
 		Hello: func() *controlpb.Hello {
@@ -123,6 +153,9 @@
 			}
 		},
 		Open: func(c *control.Conn) {
+			if before != nil {
+				c.Send(before)
+			}
 			c.Send(&controlpb.Envelope{
 				Body: &controlpb.Envelope_StatusRequest{
 					StatusRequest: &controlpb.StatusRequest{},
--- a/integration/processes_test.go
+++ b/integration/processes_test.go
@@ -104,6 +104,22 @@
 	})
 }
 
+// TestChangeThatNoInstanceSaw cuts every process off from the platform before an
+// operator, who still reaches it, makes a change: lentilctl passes it on.
+func TestChangeThatNoInstanceSaw(t *testing.T) {
+	c := startRegion(t)
+	x := c.open(100)
+	out := c.backends["liedlive-3"].Active()
+	c.proxy.Stop()
+	time.Sleep(time.Second)
+	c.mustCtl("take", "out", "domain", "nuernberg")
+	c.eventually("flows of the domain are given up", func() bool { return x.Live() == 100-out })
+	c.mustCtl("wait", "--timeout", "6s")
+	for _, e := range c.ended() {
+		require.Equal(t, "liedlive-3", e.Target)
+	}
+}
+
 // TestGracefulStopWaitsForFlows tells an agent to stop: it takes no new flow,
 // and it ends by itself once its flows have ended.
 func TestGracefulStopWaitsForFlows(t *testing.T) {
--- a/measure/control.go
+++ b/measure/control.go
@@ -59,8 +59,8 @@
 	HeapBytesPerProcess float64 `json:"heap_bytes_mean"`
 }
 
-// fleet is many balancers in this process, with heartbeats of agents.
-type fleet struct {
+// system is many balancers in this process, with heartbeats of agents.
+type system struct {
 	config    ControlConfig
 	store     *objectstore.Server
 	web       *http.Server
@@ -72,7 +72,7 @@
 // RunControl runs balancers in this process and counts what they say.
 func RunControl(c ControlConfig) (*Control, error) {
 	before := heap()
-	f, err := newFleet(c)
+	f, err := newSystem(c)
 	if f != nil {
 		defer f.close()
 	}
@@ -88,12 +88,12 @@
 	return r, f.measureChanges(r)
 }
 
-func newFleet(c ControlConfig) (*fleet, error) {
+func newSystem(c ControlConfig) (*system, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the platform")
 	}
-	f := &fleet{
+	f := &system{
 		config: c,
 		store:  objectstore.New(1),
 		url:    "http://" + l.Addr().String(),
@@ -112,7 +112,7 @@
 	return f, f.awaitReady()
 }
 
-func (f *fleet) add(i int) error {
+func (f *system) add(i int) error {
 	b, err := f.start(i)
 	if err != nil {
 		return err
@@ -122,7 +122,7 @@
 }
 
 // replace starts a new life of a balancer that was closed.
-func (f *fleet) replace(i int) error {
+func (f *system) replace(i int) error {
 	b, err := f.start(i)
 	if err != nil {
 		return err
@@ -131,7 +131,7 @@
 	return nil
 }
 
-func (f *fleet) start(i int) (*balancer.Runtime, error) {
+func (f *system) start(i int) (*balancer.Runtime, error) {
 	name := fmt.Sprintf("balancer-%03d", i)
 	life := uint64(time.Now().UnixMicro())
 	var seeds []string
@@ -167,7 +167,7 @@
 }
 
 // awaitReady waits until all balancers hold the same roster with everybody.
-func (f *fleet) awaitReady() error {
+func (f *system) awaitReady() error {
 	want := f.config.Balancers * (f.config.Agents + 1)
 	end := time.Now().Add(readyWait)
 	for time.Now().Before(end) {
@@ -180,7 +180,7 @@
 }
 
 // agree reports whether all balancers hold one version with all members.
-func (f *fleet) agree(members int) bool {
+func (f *system) agree(members int) bool {
 	first := f.balancers[0].State()
 	for _, b := range f.balancers {
 		s := b.State()
@@ -191,7 +191,7 @@
 	return true
 }
 
-func (f *fleet) measureIdle(r *Control) {
+func (f *system) measureIdle(r *Control) {
 	bytes := f.bytes()
 	calls := f.calls()
 	cpu := processorTime()
@@ -208,7 +208,7 @@
 
 // measureChanges makes changes one after the other and waits for each to be in
 // force everywhere.
-func (f *fleet) measureChanges(r *Control) error {
+func (f *system) measureChanges(r *Control) error {
 	h := hdrhistogram.New(1, 60_000_000, 3)
 	s := intent.NewStore(platform.New(platform.Config{
 		BaseURL: f.url,
@@ -236,7 +236,7 @@
 	return nil
 }
 
-func (f *fleet) change(s *intent.Store, i int) (time.Duration, error) {
+func (f *system) change(s *intent.Store, i int) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), inForceWait)
 	defer cancel()
 	base, err := s.Read(ctx)
@@ -267,7 +267,7 @@
 	return time.Since(at), errors.Wrap(ctx.Err(), "change not in force")
 }
 
-func (f *fleet) lowestRevision() uint64 {
+func (f *system) lowestRevision() uint64 {
 	low := f.balancers[0].State().Revision
 	for _, b := range f.balancers {
 		low = min(low, b.State().Revision)
@@ -275,7 +275,7 @@
 	return low
 }
 
-func (f *fleet) bytes() []uint64 {
+func (f *system) bytes() []uint64 {
 	var l []uint64
 	for _, b := range f.balancers {
 		sent, received := b.ControlBytes()
@@ -284,12 +284,12 @@
 	return l
 }
 
-func (f *fleet) calls() uint64 {
+func (f *system) calls() uint64 {
 	c := f.store.Calls()
 	return c.Reads + c.Writes + c.Watches
 }
 
-func (f *fleet) close() {
+func (f *system) close() {
 	if f.agents != nil {
 		f.agents.close()
 	}
--- a/measure/races.go
+++ b/measure/races.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/fleet"
 	"github.com/lentilshed/lentilshed/intent"
 	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/standin/objectstore"
@@ -45,12 +46,24 @@
 	Disagreeing   int     `json:"instances_disagreeing_at_end"`
 	PlatformCalls float64 `json:"platform_calls_per_second"`
 	BytesMax      float64 `json:"control_bytes_per_second_max_node"`
+	// Longest is the change that took longest, with the faults around it.
+	Longest Longest `json:"longest"`
+}
+
+// Longest describes the change that took longest to be in force.
+type Longest struct {
+	// AcceptedMS and TookMS count from the start of the run and from acceptance.
+	AcceptedMS int64 `json:"accepted_ms"`
+	TookMS     int64 `json:"took_ms"`
+	// HeardMS is when the first instance had it.
+	HeardMS int64    `json:"first_heard_ms"`
+	Faults  []string `json:"faults"`
 }
 
 // races is one run of racing operators.
 type races struct {
 	config RacesConfig
-	fleet  *fleet
+	system *system
 	ctx    context.Context //nolint:containedctx // It ends with the run.
 	mu     sync.Mutex
 	result Races
@@ -58,13 +71,22 @@
 	// stored is the revision that the platform holds.
 	stored  uint64
 	waiting []waiting
+	started time.Time
+	faults  []fault
 	inForce *hdrhistogram.Histogram
 }
 
+// fault is what began at a moment of the run.
+type fault struct {
+	at   time.Time
+	name string
+}
+
 // waiting is an accepted change that is not yet in force everywhere.
 type waiting struct {
 	revision uint64
 	at       time.Time
+	heardAt  time.Time
 }
 
 const (
@@ -76,7 +98,7 @@
 
 // RunRaces lets operators race for a time and checks what became of each change.
 func RunRaces(c RacesConfig) (*Races, error) {
-	f, err := newFleet(ControlConfig{
+	f, err := newSystem(ControlConfig{
 		Balancers: c.Balancers,
 		Agents:    1,
 	})
@@ -90,7 +112,7 @@
 	defer cancel()
 	r := &races{
 		config:  c,
-		fleet:   f,
+		system:  f,
 		ctx:     ctx,
 		agreed:  map[string]uint64{},
 		inForce: hdrhistogram.New(1, 600_000_000, 3),
@@ -100,8 +122,9 @@
 
 func (r *races) run() (*Races, error) {
 	started := time.Now()
-	calls := r.fleet.calls()
-	r.fleet.store.OnWrite(r.wrote)
+	r.started = started
+	calls := r.system.calls()
+	r.system.store.OnWrite(r.wrote)
 	var w sync.WaitGroup
 	w.Add(r.config.Operators + 2)
 	for i := range r.config.Operators {
@@ -120,13 +143,13 @@
 		r.watch(stop)
 	}()
 	<-r.ctx.Done()
-	r.fleet.store.SetFaults(objectstore.Faults{})
+	r.system.store.SetFaults(objectstore.Faults{})
 	time.Sleep(settleTime)
 	close(stop)
 	w.Wait()
 	seconds := time.Since(started).Seconds()
-	r.result.PlatformCalls = float64(r.fleet.calls()-calls) / seconds
-	for _, n := range r.fleet.bytes() {
+	r.result.PlatformCalls = float64(r.system.calls()-calls) / seconds
+	for _, n := range r.system.bytes() {
 		r.result.BytesMax = max(r.result.BytesMax, float64(n)/seconds)
 	}
 	return &r.result, r.judge()
@@ -165,6 +188,7 @@
 	if err != nil {
 		return
 	}
+	address, _ := fleet.Find(ctx, r.newClient(0), measureRegion)
 	out := !seen.Document.Out(domain)
 	h, err := s.Change(ctx, seen, &controlpb.Operation{
 		Id:      id,
@@ -174,6 +198,13 @@
 		e.SetDomain(domain, out, time.Now())
 		return nil
 	})
+	r.countChange(id, h, err)
+	if err == nil {
+		_ = fleet.Tell(ctx, address, h.Document.Since(seen.Document.Revision))
+	}
+}
+
+func (r *races) countChange(id string, h intent.Held, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -196,25 +227,27 @@
 func (r *races) fail() {
 	x := rand.New(rand.NewPCG(r.config.Seed, 99))
 	for r.config.Faults && r.ctx.Err() == nil {
-		switch x.IntN(4) {
+		n := x.IntN(4)
+		r.note([...]string{"outage", "slow and lost answers", "broken watches", "restart"}[n])
+		switch n {
 		case 0:
-			r.fleet.store.SetFaults(objectstore.Faults{
+			r.system.store.SetFaults(objectstore.Faults{
 				Down: true,
 			})
 			r.count(&r.result.Outages)
 		case 1:
-			r.fleet.store.SetFaults(objectstore.Faults{
+			r.system.store.SetFaults(objectstore.Faults{
 				Delay:       300 * time.Millisecond,
 				LostAnswers: 0.3,
 			})
 		case 2:
-			r.fleet.store.SetFaults(objectstore.Faults{
+			r.system.store.SetFaults(objectstore.Faults{
 				LostAnswers:   0.2,
 				BrokenWatches: 0.3,
 				Throttled:     0.1,
 			})
 		default:
-			r.fleet.store.SetFaults(objectstore.Faults{})
+			r.system.store.SetFaults(objectstore.Faults{})
 			r.restart(x.IntN(r.config.Balancers))
 		}
 		select {
@@ -224,12 +257,21 @@
 	}
 }
 
+func (r *races) note(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, fault{
+		at:   time.Now(),
+		name: name,
+	})
+}
+
 // restart replaces one balancer; it may be the registrar.
 func (r *races) restart(i int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fleet.balancers[i].Close()
-	if err := r.fleet.replace(i); err == nil {
+	r.system.balancers[i].Close()
+	if err := r.system.replace(i); err == nil {
 		r.result.Restarts++
 	}
 }
@@ -251,32 +293,59 @@
 		}
 		r.mu.Lock()
 		low := ^uint64(0)
-		for _, b := range r.fleet.balancers {
+		high := uint64(0)
+		for _, b := range r.system.balancers {
 			n := b.State().Revision
 			if n < seen[b] {
 				r.result.Reverted++
 			}
 			seen[b] = n
 			low = min(low, n)
+			high = max(high, n)
 		}
-		r.settle(low)
+		r.settle(low, high)
 		r.mu.Unlock()
 	}
 }
 
-// settle notes the changes that every instance has.
-func (r *races) settle(low uint64) {
+// settle notes the changes that every instance has, and that any has.
+func (r *races) settle(low, high uint64) {
+	now := time.Now()
 	rest := r.waiting[:0]
 	for _, w := range r.waiting {
+		if w.revision <= high && w.heardAt.IsZero() {
+			w.heardAt = now
+		}
 		if w.revision > low {
 			rest = append(rest, w)
 			continue
 		}
-		_ = r.inForce.RecordValue(time.Since(w.at).Microseconds())
+		_ = r.inForce.RecordValue(now.Sub(w.at).Microseconds())
+		r.noteLongest(w, now)
 	}
 	r.waiting = rest
 }
 
+// noteLongest keeps the change that took longest and the faults that began from
+// shortly before its acceptance until it was in force.
+func (r *races) noteLongest(w waiting, now time.Time) {
+	took := now.Sub(w.at).Milliseconds()
+	if took <= r.result.Longest.TookMS {
+		return
+	}
+	l := Longest{
+		AcceptedMS: w.at.Sub(r.started).Milliseconds(),
+		TookMS:     took,
+		HeardMS:    w.heardAt.Sub(w.at).Milliseconds(),
+	}
+	for _, f := range r.faults {
+		if f.at.After(w.at.Add(-faultPeriod)) {
+			l.Faults = append(l.Faults, fmt.Sprintf("%s at %d ms", f.name, f.at.Sub(r.started).Milliseconds()))
+		}
+	}
+	r.result.Longest = l
+}
+
 // judge compares what was accepted with what the platform holds.
 func (r *races) judge() error {
 	h, err := intent.NewStore(r.newClient(0), measureRegion).Read(context.Background())
@@ -308,7 +377,7 @@
 		}
 	}
 	r.result.Lost += len(r.waiting)
-	for _, b := range r.fleet.balancers {
+	for _, b := range r.system.balancers {
 		if b.State().Revision != h.Document.Revision {
 			r.result.Disagreeing++
 		}
@@ -324,7 +393,7 @@
 
 func (r *races) newClient(seed uint64) *platform.Client {
 	return platform.New(platform.Config{
-		BaseURL: r.fleet.url,
+		BaseURL: r.system.url,
 		Seed:    seed,
 	})
 }
--- a/operator/session.go
+++ b/operator/session.go
@@ -103,8 +103,12 @@
 	return s.ChangeFrom(ctx, h, summary, func(e *intent.Edit) error { return f(h, e) })
 }
 
-// ChangeFrom makes a change on top of what the operator has seen.
+// ChangeFrom makes a change on top of what the operator has seen. The accepted
+// change is passed to the registrar too: the platform may go down before any
+// instance has heard of it. When that fails the instances hear of it from the
+// platform.
 func (s *Session) ChangeFrom(ctx context.Context, seen intent.Held, summary string, f func(*intent.Edit) error) error {
+	address, _ := fleet.Find(ctx, s.config.Client, s.config.Region)
 	h, err := s.store.Change(ctx, seen, &controlpb.Operation{
 		Id:      rand.Text(),
 		Author:  s.config.Author,
@@ -114,6 +118,7 @@
 	if err != nil {
 		return err
 	}
+	_ = fleet.Tell(ctx, address, h.Document.Since(seen.Document.Revision))
 	return s.print(accepted{
 		Accepted: summary,
 		Revision: h.Document.Revision,
