--- a/demo/report.go
+++ b/demo/report.go
@@ -92,7 +92,7 @@
 	p("last new flow at a leaving target", "%d ms after acceptance", r.LeavingTookNewMS)
 	p("changes accepted / reverted", "%d / %d", r.ChangesAccepted, r.ChangesReverted)
 	p("acceptance to in force, p50 / p99 / max", "%.0f / %.0f / %.0f ms", r.InForceP50MS, r.InForceP99MS, r.InForceMaxMS)
-	p("imbalance, max over mean, steady / worst 10 s", "%s / %s", ratio(r.ImbalanceMaxOverMean), ratio(r.ImbalanceWorst))
+	p("imbalance before changes, mean / worst 10 s", "%s / %s", ratio(r.ImbalanceMaxOverMean), ratio(r.ImbalanceWorst))
 	p("imbalance during changes", "%s", ratio(r.ImbalanceChanging))
 	p("control bytes a second, busiest node", "%.0f", r.ControlBytesPerSecondMax)
 	p("platform calls a second", "%.1f", r.PlatformCallsPerSecond)
