--- a/cmd/lentilshed/process.go
+++ b/cmd/lentilshed/process.go
@@ -147,15 +147,35 @@
 func (p *process) balancerGauges(r *balancer.Runtime) {
 	s := r.State()
 	g := p.metrics.Scope
-	g.Gauge("intent_revision").Update(float64(s.Revision))
-	g.Gauge("roster_version").Update(float64(s.Version))
 	g.Gauge("agents").Update(float64(s.Agents))
 	g.Gauge("registrar").Update(truth(s.Registrar))
 	g.Gauge("isolated").Update(truth(s.Isolated))
-	g.Gauge("violations").Update(float64(s.Stats.Violations))
 	sent, received := r.ControlBytes()
-	g.Gauge("control_bytes_sent").Update(float64(sent))
-	g.Gauge("control_bytes_received").Update(float64(received))
+	p.commonGauges(common{
+		revision:   s.Revision,
+		version:    s.Version,
+		violations: s.Stats.Violations,
+		sent:       sent,
+		received:   received,
+	})
+}
+
+// common is what balancers and agents both report.
+type common struct {
+	revision   uint64
+	version    uint64
+	violations uint64
+	sent       uint64
+	received   uint64
+}
+
+func (p *process) commonGauges(c common) {
+	g := p.metrics.Scope
+	g.Gauge("intent_revision").Update(float64(c.revision))
+	g.Gauge("roster_version").Update(float64(c.version))
+	g.Gauge("violations").Update(float64(c.violations))
+	g.Gauge("control_bytes_sent").Update(float64(c.sent))
+	g.Gauge("control_bytes_received").Update(float64(c.received))
 }
 
 func (p *process) startAgent(s *settings.Agent) (*instance, error) {
@@ -213,8 +233,6 @@
 func (p *process) agentGauges(r *agent.Runtime) {
 	s := r.State()
 	g := p.metrics.Scope
-	g.Gauge("intent_revision").Update(float64(s.Revision))
-	g.Gauge("roster_version").Update(float64(s.Version))
 	g.Gauge("flows").Update(float64(s.Active))
 	g.Gauge("flow_limit").Update(float64(s.Limit))
 	g.Gauge("capacity_learned").Update(float64(s.Capacity))
@@ -225,10 +243,14 @@
 	g.Gauge("flows_admitted").Update(float64(s.Stats.Admitted))
 	g.Gauge("flows_refused").Update(float64(s.Stats.Refused))
 	g.Gauge("flows_reset_unknown").Update(float64(s.Stats.ResetUnknown))
-	g.Gauge("violations").Update(float64(s.Stats.Violations))
 	sent, received := r.ControlBytes()
-	g.Gauge("control_bytes_sent").Update(float64(sent))
-	g.Gauge("control_bytes_received").Update(float64(received))
+	p.commonGauges(common{
+		revision:   s.Revision,
+		version:    s.Version,
+		violations: s.Stats.Violations,
+		sent:       sent,
+		received:   received,
+	})
 }
 
 func truth(b bool) float64 {
--- /dev/null
+++ b/measure/races_judge.go
@@ -0,0 +1,118 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/lentilshed/lentilshed/intent"
+)
+
+// watch asserts that no instance goes back, and notes when changes are in force.
+func (r *races) watch(stop <-chan struct{}) {
+	seen := map[any]uint64{}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(inForcePause):
+		}
+		r.mu.Lock()
+		low := ^uint64(0)
+		high := uint64(0)
+		for _, b := range r.system.balancers {
+			n := b.State().Revision
+			if n < seen[b] {
+				r.result.Reverted++
+			}
+			seen[b] = n
+			low = min(low, n)
+			high = max(high, n)
+		}
+		r.settle(low, high)
+		r.mu.Unlock()
+	}
+}
+
+// settle notes the changes that every instance has, and that any has.
+func (r *races) settle(low, high uint64) {
+	now := time.Now()
+	rest := r.waiting[:0]
+	for _, w := range r.waiting {
+		if w.revision <= high && w.heardAt.IsZero() {
+			w.heardAt = now
+		}
+		if w.revision > low {
+			rest = append(rest, w)
+			continue
+		}
+		_ = r.inForce.RecordValue(now.Sub(w.at).Microseconds())
+		r.noteLongest(w, now)
+	}
+	r.waiting = rest
+}
+
+// noteLongest keeps the change that took longest and the faults that began from
+// shortly before its acceptance until it was in force.
+func (r *races) noteLongest(w waiting, now time.Time) {
+	took := now.Sub(w.at).Milliseconds()
+	if took <= r.result.Longest.TookMS {
+		return
+	}
+	l := Longest{
+		AcceptedMS: w.at.Sub(r.started).Milliseconds(),
+		TookMS:     took,
+		HeardMS:    w.heardAt.Sub(w.at).Milliseconds(),
+	}
+	for _, f := range r.faults {
+		if f.at.After(w.at.Add(-faultPeriod)) {
+			l.Faults = append(l.Faults, fmt.Sprintf("%s at %d ms", f.name, f.at.Sub(r.started).Milliseconds()))
+		}
+	}
+	r.result.Longest = l
+}
+
+// judge compares what was accepted with what the platform holds.
+func (r *races) judge() error {
+	h, err := intent.NewStore(r.newClient(0), measureRegion).Read(context.Background())
+	if err != nil {
+		return err
+	}
+	byRevision := map[uint64]string{}
+	for id, n := range r.agreed {
+		if byRevision[n] != "" {
+			r.result.AppliedTwice++
+		}
+		byRevision[n] = id
+	}
+	kept := map[string]int{}
+	for _, o := range h.Document.Operations {
+		kept[o.GetId()]++
+		if n, ok := r.agreed[o.GetId()]; ok && n != o.GetRevision() {
+			r.result.Lost++
+		}
+	}
+	for _, n := range kept {
+		if n > 1 {
+			r.result.AppliedTwice++
+		}
+	}
+	for _, n := range r.agreed {
+		if n > h.Document.Revision {
+			r.result.Lost++
+		}
+	}
+	r.result.Lost += len(r.waiting)
+	for _, b := range r.system.balancers {
+		if b.State().Revision != h.Document.Revision {
+			r.result.Disagreeing++
+		}
+	}
+	r.result.Balancers = r.config.Balancers
+	r.result.Seed = r.config.Seed
+	r.result.Faults = r.config.Faults
+	r.result.InForceP50MS = float64(r.inForce.ValueAtQuantile(50)) / 1000
+	r.result.InForceP99MS = float64(r.inForce.ValueAtQuantile(99)) / 1000
+	r.result.InForceMaxMS = float64(r.inForce.Max()) / 1000
+	return nil
+}
