Keep a new flow when an old connection of the same port ends

Cause: reading the code: the end of a connection was told by its key alone, so the late end of an old one could end the record of a flow that the caller had opened from the same port since.

Change: the table of connections tells whether the ended one is still current; only then is the model told.

--- a/agent/flow_table.go
+++ b/agent/flow_table.go
@@ -42,12 +42,16 @@
 	return !e.cut
 }
 
-func (t *flowTable) remove(k flow.Key, e *flowEnd) {
+// remove forgets a connection that has ended. It reports false when the caller
+// has opened another one from the same port meanwhile: that flow goes on.
+func (t *flowTable) remove(k flow.Key, e *flowEnd) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.ends[k] == e {
-		delete(t.ends, k)
+	if t.ends[k] != e {
+		return false
 	}
+	delete(t.ends, k)
+	return true
 }
 
 // describe says how the stack sees a flow.
--- a/agent/splice.go
+++ b/agent/splice.go
@@ -45,7 +45,9 @@
 	k := flow.NewKey(q.From)
 	e := r.flows.open(k)
 	lost := r.serve(k, e, q)
-	r.flows.remove(k, e)
+	if !r.flows.remove(k, e) {
+		return
+	}
 	r.post(FlowEndedMsg{
 		Key:  k,
 		Lost: lost,
