--- a/balancer/lease_caller.go
+++ b/balancer/lease_caller.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/lease"
-	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/store"
 )
 
 // LeaseKind is the platform's kind for leases; the registrar's is named after
@@ -16,19 +16,19 @@
 
 // leaseCaller performs the calls of the lease, one at a time.
 type leaseCaller struct {
-	client *platform.Client
-	key    platform.Key
+	client *store.Client
+	key    store.Key
 	post   func(Msg)
 	ctx    context.Context //nolint:containedctx // It ends with the caller.
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 }
 
-func newLeaseCaller(c *platform.Client, region string, post func(Msg)) *leaseCaller {
+func newLeaseCaller(c *store.Client, region string, post func(Msg)) *leaseCaller {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &leaseCaller{
 		client: c,
-		key: platform.Key{
+		key: store.Key{
 			Kind: LeaseKind,
 			Name: region,
 		},
@@ -51,7 +51,7 @@
 		m := lease.ReadMsg{
 			Version: uint64(o.Version),
 			Found:   err == nil,
-			Failed:  err != nil && !errors.Is(err, platform.ErrNotFound),
+			Failed:  err != nil && !errors.Is(err, store.ErrNotFound),
 		}
 		if err == nil && json.Unmarshal(o.Value, &m.Record) != nil {
 			m.Failed = true
@@ -75,10 +75,10 @@
 			Outcome: lease.OutcomeConflict,
 		}
 	}
-	v, err := l.client.Put(l.ctx, l.key, b, platform.Version(e.Held))
+	v, err := l.client.Put(l.ctx, l.key, b, store.Version(e.Held))
 	o := lease.OutcomeWritten
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		o = lease.OutcomeConflict
 	case err != nil:
 		o = lease.OutcomeUnknown
--- a/balancer/runtime.go
+++ b/balancer/runtime.go
@@ -11,7 +11,7 @@
 	"github.com/lentilshed/lentilshed/control"
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/intent"
-	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/store"
 	"github.com/lentilshed/lentilshed/telemetry"
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
@@ -30,7 +30,7 @@
 // RuntimeConfig says what a runtime works with.
 type RuntimeConfig struct {
 	Config   Config
-	Platform *platform.Client
+	Platform *store.Client
 	Log      *log.Logger
 	Scope    tally.Scope
 	Tracer   *telemetry.Tracer
--- a/balancer/watcher.go
+++ b/balancer/watcher.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/intent"
-	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/store"
 )
 
 const (
@@ -56,7 +56,7 @@
 
 func (w *watcher) run(ctx context.Context) {
 	defer w.wait.Done()
-	after := platform.Version(0)
+	after := store.Version(0)
 	pause := watchPause
 	for ctx.Err() == nil {
 		h, err := w.store.Watch(ctx, after, watchWait)
@@ -68,7 +68,7 @@
 				Document: h.Document,
 			})
 			continue
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, store.ErrNotFound):
 			w.post(AcceptedMsg{})
 		}
 		select {
--- a/cmd/lentilctl/root.go
+++ b/cmd/lentilctl/root.go
@@ -14,7 +14,7 @@
 	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/intent"
 	"github.com/lentilshed/lentilshed/operator"
-	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/store"
 	"github.com/spf13/cobra"
 )
 
@@ -177,7 +177,7 @@
 		return nil, failure.Mark(errors.Newf("--output: %q is neither text nor json", c.output), errUsage)
 	}
 	return operator.New(operator.Config{
-		Client: platform.New(platform.Config{
+		Client: store.New(store.Config{
 			BaseURL: c.platform,
 			Seed:    uint64(time.Now().UnixNano()),
 		}),
--- /dev/null
+++ b/cmd/lentilshed/passing.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/failure"
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/host"
+	"github.com/lentilshed/lentilshed/placement"
+	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/settings"
+	"github.com/lentilshed/lentilshed/store"
+	"github.com/lentilshed/lentilshed/telemetry"
+	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
+)
+
+const (
+	// callHeaderTimeout bounds the head of a call to this process.
+	callHeaderTimeout = 2 * time.Second
+	// logRate and logBurst bound the lines of a process; a line costs as much as
+	// a packet.
+	logRate  = 40
+	logBurst = 200
+)
+
+// passing is a running balancer or agent of flows that backend servers end
+// themselves.
+type passing struct {
+	settings *settings.Passing
+	log      *log.Logger
+	bounded  telemetry.Bounded
+	servers  []*http.Server
+	registry host.Registry
+	stop     func()
+}
+
+func newPassingCommand(out io.Writer) *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "serve [--config FILE]",
+		Short: "Run the balancer or agent that the settings describe, on the users' platform",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if path == "" {
+				path = platform.SettingsPath()
+			}
+			return servePassing(path, out)
+		},
+	}
+	c.Flags().StringVar(&path, "config", "", "TOML settings file; the platform's by default")
+	return c
+}
+
+// servePassing runs one process until it is told to stop.
+func servePassing(path string, out io.Writer) error {
+	f, err := readPassing(path)
+	if err != nil {
+		return err
+	}
+	p := &passing{
+		settings: f.Passing,
+		log:      telemetry.NewLogger(out, f.Passing.Role+" "+f.Passing.Name, f.Log.Level),
+		bounded: telemetry.Bounded{
+			PerSecond: logRate,
+			Burst:     logBurst,
+		},
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	if err := p.start(); err != nil {
+		return err
+	}
+	p.log.Info().Str("failure_domain", p.settings.Domain).Str("service", p.settings.Service).Msg("started")
+	p.waitForStop(path, signals)
+	p.log.Info().Msg("stopping")
+	p.stop()
+	p.log.Info().Msg("stopped")
+	return nil
+}
+
+func readPassing(path string) (*settings.File, error) {
+	f, err := settings.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	if f.Passing == nil {
+		return nil, failure.Mark(errors.Newf("%s: passing: section is missing", path), settings.ErrInvalid)
+	}
+	return f, nil
+}
+
+func (p *passing) start() error {
+	t := &store.Transport{
+		HTTP: store.NewHTTPClient(),
+	}
+	p.registry = platform.NewRegistry(p.settings.Platform, t, func(event, name string) {
+		p.note(host.Note{
+			Event:  event,
+			Member: name,
+		})
+	})
+	if p.settings.Role == settings.RoleAgent {
+		return p.startAgent()
+	}
+	return p.startBalancer()
+}
+
+var packetForm = host.PacketForm{
+	FromCaller:  platform.DecodeFromCaller,
+	FromTarget:  platform.DecodeFromTarget,
+	Restore:     platform.Restore,
+	AppendReset: platform.AppendReset,
+}
+
+func (p *passing) startBalancer() error {
+	s := p.settings
+	c := placement.DefaultConfig()
+	if s.RemoteUse > 0 {
+		c.RemoteUse = s.RemoteUse
+	}
+	b, err := host.NewBalancer(host.BalancerConfig{
+		Name:      s.Name,
+		Domain:    s.Domain,
+		Packets:   netip.MustParseAddrPort(s.Packets),
+		Peer:      netip.MustParseAddrPort(s.Peer),
+		Grace:     time.Duration(s.StopTimeout),
+		Placement: c,
+		Form:      packetForm,
+		Registry:  p.registry,
+		Note:      p.note,
+	})
+	if err != nil {
+		return errors.Wrap(err, "start balancer")
+	}
+	p.stop = b.Stop
+	return p.listen(platform.NewBalancerHandler(b), s.Ready, s.Calls)
+}
+
+func (p *passing) startAgent() error {
+	s := p.settings
+	backend := host.Backend{
+		Service: s.Service,
+		Address: netip.MustParseAddrPort(s.Backend),
+	}
+	a, err := host.NewAgent(host.AgentConfig{
+		Name:     s.Name,
+		Domain:   s.Domain,
+		Peer:     netip.MustParseAddrPort(s.Packets),
+		Outbound: netip.MustParseAddrPort(s.Outbound),
+		Backend:  backend,
+		Form:     packetForm,
+		Registry: p.registry,
+		Note:     p.note,
+	})
+	if err != nil {
+		return errors.Wrap(err, "start agent")
+	}
+	p.stop = a.Stop
+	h := platform.NewAgentHandler(a, backend, func(event, name string) {
+		p.note(host.Note{
+			Event:  event,
+			Member: name,
+		})
+	})
+	return p.listen(h, s.Ready, s.Calls)
+}
+
+// listen serves one handler at all addresses.
+func (p *passing) listen(h http.Handler, addresses ...string) error {
+	for _, a := range addresses {
+		if a == "" {
+			continue
+		}
+		l, err := net.Listen("tcp4", a)
+		if err != nil {
+			return errors.Wrap(err, "listen for calls")
+		}
+		s := &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: callHeaderTimeout,
+		}
+		p.servers = append(p.servers, s)
+		go func() { _ = s.Serve(l) }()
+	}
+	return nil
+}
+
+// waitForStop rereads the settings when asked, until it is told to stop.
+func (p *passing) waitForStop(path string, signals <-chan os.Signal) {
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			return
+		}
+		p.reload(path)
+	}
+}
+
+func (p *passing) reload(path string) {
+	f, err := readPassing(path)
+	if err != nil {
+		p.log.Warn().Err(err).Msg("settings kept, new ones cannot be used")
+		return
+	}
+	p.log.SetLevel(log.ParseLevel(f.Log.Level))
+	p.log.Info().Msg("settings read again")
+}
+
+// note writes one line of the log, unless there are too many.
+func (p *passing) note(n host.Note) {
+	skipped, ok := p.bounded.Allow(time.Now())
+	if !ok {
+		return
+	}
+	e := p.log.Info()
+	if n.Err != nil {
+		e = p.log.Warn().Err(n.Err)
+	}
+	if n.Flow != (flow.Tuple{}) {
+		e = e.Str("flow", n.Flow.String())
+	}
+	if n.Member != "" {
+		e = e.Str("name", n.Member)
+	}
+	if n.Count != 0 {
+		e = e.Int("count", n.Count)
+	}
+	if skipped > 0 {
+		e = e.Uint64("lines_left_out", skipped)
+	}
+	e.Msg(n.Event)
+}
--- a/cmd/lentilshed/process.go
+++ b/cmd/lentilshed/process.go
@@ -11,8 +11,8 @@
 	"github.com/lentilshed/lentilshed/agent"
 	"github.com/lentilshed/lentilshed/balancer"
 	"github.com/lentilshed/lentilshed/lease"
-	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/settings"
+	"github.com/lentilshed/lentilshed/store"
 	"github.com/lentilshed/lentilshed/target"
 	"github.com/lentilshed/lentilshed/telemetry"
 	"github.com/phuslu/log"
@@ -123,7 +123,7 @@
 				Silence: balancer.LeaseSilence,
 			},
 		},
-		Platform: platform.New(platform.Config{
+		Platform: store.New(store.Config{
 			BaseURL: s.Platform,
 			Seed:    xxh3.HashString(s.Name) + life,
 			Count: func(method, outcome string) {
--- a/demo/region.go
+++ b/demo/region.go
@@ -12,9 +12,9 @@
 	"github.com/lentilshed/lentilshed/agent"
 	"github.com/lentilshed/lentilshed/balancer"
 	"github.com/lentilshed/lentilshed/lease"
-	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/standin/backend"
 	"github.com/lentilshed/lentilshed/standin/fabric"
+	"github.com/lentilshed/lentilshed/store"
 	"github.com/lentilshed/lentilshed/target"
 	"github.com/lentilshed/lentilshed/telemetry"
 	"github.com/uber-go/tally/v4"
@@ -106,7 +106,7 @@
 				Silence: balancer.LeaseSilence,
 			},
 		},
-		Platform: platform.New(platform.Config{
+		Platform: store.New(store.Config{
 			BaseURL: g.platform,
 			Seed:    g.seed + life,
 		}),
--- a/demo/run.go
+++ b/demo/run.go
@@ -17,9 +17,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/intent"
-	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/standin/caller"
 	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"github.com/lentilshed/lentilshed/store"
 )
 
 // ErrViolated is returned when something that must always hold did not.
@@ -36,7 +36,7 @@
 	url     string
 	regions []*region
 	callers []*caller.Callers
-	client  *platform.Client
+	client  *store.Client
 	rand    *rand.Rand
 	started time.Time
 	ctx     context.Context //nolint:containedctx // It ends with the run.
@@ -104,7 +104,7 @@
 	}
 	go func() { _ = r.web.Serve(l) }()
 	r.url = "http://" + l.Addr().String()
-	r.client = platform.New(platform.Config{
+	r.client = store.New(store.Config{
 		BaseURL: r.url,
 		Seed:    r.options.Seed,
 	})
--- /dev/null
+++ b/director/lookup.go
@@ -0,0 +1,285 @@
+package director
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/segment"
+)
+
+// lookup is the search for the place of one flow. Its packets wait meanwhile.
+type lookup struct {
+	segment segment.Segment
+	held    [][]byte
+	// replies has every agent that was asked.
+	replies map[*member]reply
+	// everywhere is set once all agents are asked, not only those of the
+	// caller's failure domain.
+	everywhere bool
+	started    time.Time
+	asked      time.Time
+}
+
+// reply is what an agent has said about a flow.
+type reply uint8
+
+const (
+	replyNone reply = iota
+	// replyUnsure is an agent that was offered a packet and has not returned it.
+	replyUnsure
+	// replyUnheld is an agent whose backend server does not hold the flow.
+	replyUnheld
+)
+
+const (
+	// lookupRetry is the time after which a question is repeated: several round
+	// trips between failure domains.
+	lookupRetry = 60 * time.Millisecond
+	// lookupTimeout gives a search up; the caller's next packet starts another.
+	lookupTimeout = 1200 * time.Millisecond
+	// lookupPackets bounds the packets that wait for one search.
+	lookupPackets = 4
+	// maxLookups bounds the searches at a time.
+	maxLookups = 20_000
+	// listPause is the least time between two lists of all agents.
+	listPause = 150 * time.Millisecond
+)
+
+// seek asks where a flow lives, first in the caller's failure domain.
+func (m *Model) seek(now time.Time, r routing.Route, s segment.Segment, data []byte) {
+	l := m.lookups[s.Tuple]
+	if l == nil {
+		if len(m.lookups) >= maxLookups {
+			m.stats.LookupsDropped++
+			return
+		}
+		l = &lookup{
+			replies: map[*member]reply{},
+			started: now,
+			asked:   now,
+		}
+		m.lookups[s.Tuple] = l
+		m.stats.Lookups++
+	}
+	l.segment = s
+	if len(l.held) < lookupPackets {
+		l.held = append(l.held, append([]byte(nil), data...))
+	}
+	if len(l.replies) == 0 {
+		m.askNear(r, l)
+	}
+	m.conclude(now, l)
+}
+
+// askNear asks the agents of the route's services in this failure domain, where
+// most flows of its callers live.
+func (m *Model) askNear(r routing.Route, l *lookup) {
+	for _, s := range r.Shares {
+		for _, x := range m.services[s.Service] {
+			if x.Domain == m.config.Domain {
+				m.ask(x, l)
+			}
+		}
+	}
+}
+
+// askEverywhere asks all other agents, also those of services that the route
+// does not name: an earlier configuration may have named them.
+func (m *Model) askEverywhere(l *lookup) {
+	l.everywhere = true
+	for _, x := range m.members {
+		if _, ok := l.replies[x]; !ok {
+			m.ask(x, l)
+		}
+	}
+}
+
+func (m *Model) ask(x *member, l *lookup) {
+	if _, ok := l.replies[x]; !ok {
+		l.replies[x] = replyNone
+	}
+	x.queries = append(x.queries, holder.Probe{
+		Tuple: l.segment.Tuple,
+		Ack:   l.segment.Ack,
+	})
+	m.queued = true
+}
+
+// flush sends the collected questions.
+func (m *Model) flush() {
+	m.queued = false
+	for _, x := range m.members {
+		for len(x.queries) > 0 {
+			n := min(len(x.queries), maxQuery)
+			m.emit(QueryEffect{
+				To:    x.Address,
+				Flows: append([]holder.Probe(nil), x.queries[:n]...),
+			})
+			x.queries = x.queries[n:]
+		}
+		x.queries = nil
+	}
+}
+
+// maxQuery keeps a query within one datagram.
+const maxQuery = 40
+
+// answer takes what an agent says about flows.
+func (m *Model) answer(now time.Time, x AnswerMsg) {
+	from := m.byAddr[x.From]
+	if from == nil {
+		return
+	}
+	for _, t := range x.Held {
+		m.found(now, t, from)
+	}
+	for _, t := range x.Unheld {
+		if l := m.lookups[t]; l != nil {
+			l.replies[from] = replyUnheld
+			m.conclude(now, l)
+		}
+	}
+	for _, t := range x.Unsure {
+		m.offer(t, from)
+	}
+}
+
+// found ends the search for a flow and sends its packets there.
+func (m *Model) found(now time.Time, t flow.Tuple, x *member) {
+	h := m.hints[t]
+	if h == nil {
+		h = &hint{}
+		m.remember(t, h)
+	}
+	h.member = x
+	h.used = now
+	l := m.lookups[t]
+	if l == nil {
+		return
+	}
+	delete(m.lookups, t)
+	m.stats.Found++
+	if l.replies[x] == replyUnsure {
+		l.held = l.held[1:]
+	}
+	for _, b := range l.held {
+		m.send(x, b, false)
+	}
+}
+
+// offer hands a packet of a flow to an agent that does not know all flows of its
+// backend server yet.
+func (m *Model) offer(t flow.Tuple, x *member) {
+	l := m.lookups[t]
+	if l == nil || l.replies[x] == replyUnsure {
+		return
+	}
+	l.replies[x] = replyUnsure
+	m.stats.Offers++
+	m.send(x, l.held[0], true)
+}
+
+// notHeld takes a packet back from an agent whose backend server does not hold
+// the flow.
+func (m *Model) notHeld(now time.Time, r routing.Route, from *member, x RejectMsg, h *hint) {
+	if h != nil {
+		// Another agent has said meanwhile that it holds the flow.
+		m.send(h.member, x.Data, false)
+		return
+	}
+	l := m.lookups[x.Segment.Tuple]
+	if l == nil {
+		m.seek(now, r, x.Segment, x.Data)
+		l = m.lookups[x.Segment.Tuple]
+	}
+	if l != nil {
+		l.replies[from] = replyUnheld
+		m.conclude(now, l)
+	}
+}
+
+// conclude moves a search on once all that were asked have said no. A flow is
+// reset only when no agent of a list that was read after its packet holds it.
+func (m *Model) conclude(now time.Time, l *lookup) {
+	for _, r := range l.replies {
+		if r != replyUnheld {
+			return
+		}
+	}
+	switch {
+	case !l.everywhere:
+		m.askEverywhere(l)
+		if len(m.members) == 0 || m.allUnheld(l) {
+			m.conclude(now, l)
+		}
+	case m.listedAt.Before(l.started):
+		m.wantList(now)
+	default:
+		delete(m.lookups, l.segment.Tuple)
+		m.stats.Unheld++
+		m.reset(l.segment, CauseNotHeld)
+	}
+}
+
+func (m *Model) allUnheld(l *lookup) bool {
+	for _, r := range l.replies {
+		if r != replyUnheld {
+			return false
+		}
+	}
+	return true
+}
+
+// wantList asks for a fresh list of agents, at most every listPause.
+func (m *Model) wantList(now time.Time) {
+	if now.Sub(m.listAsked) < listPause {
+		return
+	}
+	m.listAsked = now
+	m.stats.Lists++
+	m.emit(ListEffect{})
+}
+
+// tickLookups repeats questions and gives searches up.
+func (m *Model) tickLookups(now time.Time) {
+	for t, l := range m.lookups {
+		switch {
+		case now.Sub(l.started) > lookupTimeout:
+			delete(m.lookups, t)
+			m.stats.LookupsTimedOut++
+			m.noteTimeout(l)
+		case now.Sub(l.asked) > lookupRetry:
+			l.asked = now
+			m.repeat(now, l)
+		}
+	}
+}
+
+func (m *Model) repeat(now time.Time, l *lookup) {
+	for x, r := range l.replies {
+		switch {
+		case m.members[x.Name] != x:
+			delete(l.replies, x)
+		case r != replyUnheld:
+			m.ask(x, l)
+		}
+	}
+	m.conclude(now, l)
+}
+
+// noteTimeout names an agent that has not answered.
+func (m *Model) noteTimeout(l *lookup) {
+	n := NoteEffect{
+		Event: "no certain answer where the flow lives",
+		Flow:  l.segment.Tuple,
+	}
+	for x, r := range l.replies {
+		if r != replyUnheld {
+			n.Member = x.Name
+			n.Count++
+		}
+	}
+	m.emit(n)
+}
--- /dev/null
+++ b/director/model.go
@@ -0,0 +1,259 @@
+// Package director decides, at each balancer, about every packet of flows that
+// backend servers themselves end. A balancer keeps nothing that matters: it
+// remembers where flows live as hints, and asks the agents when it does not
+// know. Update takes a message and returns effects; it does no I/O.
+package director
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/placement"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/segment"
+)
+
+// Config says where a balancer runs and how it chooses.
+type Config struct {
+	Domain    string
+	Placement placement.Config
+	// MaxHints bounds the flows whose place is remembered.
+	MaxHints int
+}
+
+// Model is the state of one balancer. It belongs to one goroutine at a time.
+//
+//	m := director.NewModel(config, now)
+//	for _, e := range m.Update(now, director.TickMsg{}) { perform(e) }
+type Model struct {
+	config   Config
+	started  time.Time
+	declared *routing.Config
+	out      map[string]bool
+	outsRev  uint64
+	members  map[string]*member
+	byAddr   map[netip.AddrPort]*member
+	services map[string][]*member
+	hints    map[flow.Tuple]*hint
+	lookups  map[flow.Tuple]*lookup
+	// listedAt is the time of asking of the newest list of agents.
+	listedAt  time.Time
+	listAsked time.Time
+	queued    bool
+	sweepAt   time.Time
+	stats     Stats
+	effects   []Effect
+	// choice and choiceMembers are scratch space of place.
+	choice        []placement.Member
+	choiceMembers []*member
+}
+
+const (
+	// defaultMaxHints takes some 20 MB.
+	defaultMaxHints = 100_000
+	// hintLifetime forgets the place of a silent flow.
+	hintLifetime = 30 * time.Second
+	// sweepPeriod is the time between two searches for forgotten flows.
+	sweepPeriod = time.Second
+)
+
+// NewModel returns a model without a configuration; it drops packets until the
+// first ConfigMsg.
+func NewModel(c Config, now time.Time) *Model {
+	if c.MaxHints <= 0 {
+		c.MaxHints = defaultMaxHints
+	}
+	return &Model{
+		config:   c,
+		started:  now,
+		out:      map[string]bool{},
+		members:  map[string]*member{},
+		byAddr:   map[netip.AddrPort]*member{},
+		services: map[string][]*member{},
+		hints:    map[flow.Tuple]*hint{},
+		lookups:  map[flow.Tuple]*lookup{},
+	}
+}
+
+// Update takes one message and returns what is to be done. The result is valid
+// until the next call.
+func (m *Model) Update(now time.Time, msg Msg) []Effect {
+	m.effects = m.effects[:0]
+	switch x := msg.(type) {
+	case PacketMsg:
+		m.packet(now, x.Segment, x.Data)
+	case RejectMsg:
+		m.rejected(now, x)
+	case ReportMsg:
+		m.report(now, x)
+	case AnswerMsg:
+		m.answer(now, x)
+	case ConfigMsg:
+		m.adopt(x)
+	case DomainsMsg:
+		m.domains(x)
+	case MembersMsg:
+		m.list(now, x)
+	case WokenMsg:
+		m.woken()
+	case FlushMsg:
+		m.flush()
+	case TickMsg:
+		m.tick(now)
+	}
+	return m.effects
+}
+
+// Queued reports whether queries wait for a FlushMsg.
+func (m *Model) Queued() bool {
+	return m.queued
+}
+
+// Ready reports whether packets can be served: the configuration is in force
+// and agents are known.
+func (m *Model) Ready() bool {
+	return m.declared != nil && (len(m.members) > 0 || !m.listedAt.IsZero())
+}
+
+// Version returns the version of the configuration in force; zero is none.
+func (m *Model) Version() routing.Version {
+	if m.declared == nil {
+		return 0
+	}
+	return m.declared.Version
+}
+
+// DomainsRevision returns the revision of the list of domains taken out.
+func (m *Model) DomainsRevision() uint64 {
+	return m.outsRev
+}
+
+// Stats returns the counters so far.
+func (m *Model) Stats() Stats {
+	s := m.stats
+	s.Hints = len(m.hints)
+	s.Members = len(m.members)
+	return s
+}
+
+func (m *Model) emit(e Effect) {
+	m.effects = append(m.effects, e)
+}
+
+// packet decides about one packet of a caller.
+func (m *Model) packet(now time.Time, s segment.Segment, data []byte) {
+	switch {
+	case m.declared == nil:
+		m.stats.NoConfig++
+	case s.SynAck():
+		// Only backend servers accept flows.
+		m.stats.Forged++
+	case s.Initial():
+		m.open(now, s, data)
+	default:
+		m.continueFlow(now, s, data)
+	}
+}
+
+// continueFlow sends a packet where its flow lives, or asks for the place.
+func (m *Model) continueFlow(now time.Time, s segment.Segment, data []byte) {
+	r, ok := m.declared.Routes[routing.Of(s.Tuple)]
+	if !ok {
+		delete(m.hints, s.Tuple)
+		m.reset(s, CauseNoRoute)
+		return
+	}
+	if h := m.hints[s.Tuple]; h != nil {
+		h.used = now
+		m.send(h.member, data, false)
+		return
+	}
+	m.seek(now, r, s, data)
+}
+
+func (m *Model) send(to *member, data []byte, offer bool) {
+	m.stats.Delivered++
+	m.emit(DeliverEffect{
+		To:      to.Address,
+		Service: to.Service,
+		Offer:   offer,
+		Data:    data,
+	})
+}
+
+// reset ends a flow, unless the caller itself has just reset it.
+func (m *Model) reset(s segment.Segment, cause ResetCause) {
+	if s.Has(segment.Rst) {
+		return
+	}
+	m.stats.Reset++
+	m.emit(ResetEffect{
+		Tuple:    s.Tuple,
+		Sequence: s.Ack,
+		Cause:    cause,
+	})
+}
+
+func (m *Model) adopt(x ConfigMsg) {
+	if m.declared != nil && x.Config.Version <= m.declared.Version {
+		return
+	}
+	m.declared = x.Config
+	m.emit(NoteEffect{
+		Event: "configuration is in force",
+		Count: int(x.Config.Version),
+	})
+}
+
+func (m *Model) domains(x DomainsMsg) {
+	if x.Revision < m.outsRev {
+		return
+	}
+	m.outsRev = x.Revision
+	out := map[string]bool{}
+	for _, d := range x.Out {
+		out[d] = true
+		if !m.out[d] {
+			m.emit(NoteEffect{
+				Event:  "failure domain is taken out",
+				Member: d,
+			})
+		}
+	}
+	for d := range m.out {
+		if !out[d] {
+			m.emit(NoteEffect{
+				Event:  "failure domain is back",
+				Member: d,
+			})
+		}
+	}
+	m.out = out
+}
+
+// woken treats all reports as old; agents are asked for new ones.
+func (m *Model) woken() {
+	for _, x := range m.members {
+		x.heard = time.Time{}
+		m.emit(SolicitEffect{
+			To: x.Address,
+		})
+	}
+	m.listedAt = time.Time{}
+	m.emit(ListEffect{})
+}
+
+func (m *Model) tick(now time.Time) {
+	m.tickLookups(now)
+	if now.Before(m.sweepAt) {
+		return
+	}
+	m.sweepAt = now.Add(sweepPeriod)
+	for t, h := range m.hints {
+		if now.Sub(h.used) > hintLifetime {
+			delete(m.hints, t)
+		}
+	}
+	m.sweepMembers(now)
+}
--- /dev/null
+++ b/director/msg.go
@@ -0,0 +1,70 @@
+package director
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/segment"
+)
+
+// Msg is anything that Model.Update takes.
+type Msg any
+
+// PacketMsg is a caller's packet from the fabric. Data is only valid during the
+// update.
+type PacketMsg struct {
+	Segment segment.Segment
+	Data    []byte
+}
+
+// RejectMsg is a packet that an agent returned.
+type RejectMsg struct {
+	From    netip.AddrPort
+	Reason  holder.RejectReason
+	Segment segment.Segment
+	Data    []byte
+}
+
+// ReportMsg is what an agent says of itself and its target.
+type ReportMsg struct {
+	Member Member
+	holder.Report
+}
+
+// AnswerMsg says which of the flows that were asked for an agent holds.
+type AnswerMsg struct {
+	From   netip.AddrPort
+	Held   []flow.Tuple
+	Unheld []flow.Tuple
+	Unsure []flow.Tuple
+}
+
+// ConfigMsg is an accepted configuration. An older one than that in force is
+// ignored.
+type ConfigMsg struct {
+	Config *routing.Config
+}
+
+// DomainsMsg lists the failure domains that operators have taken out.
+type DomainsMsg struct {
+	Out      []string
+	Revision uint64
+}
+
+// MembersMsg lists all agents that have registered, read after Asked.
+type MembersMsg struct {
+	Members []Member
+	Asked   time.Time
+}
+
+// WokenMsg says that the process stood still for a while.
+type WokenMsg struct{}
+
+// FlushMsg sends collected queries.
+type FlushMsg struct{}
+
+// TickMsg drives timeouts.
+type TickMsg struct{}
--- /dev/null
+++ b/director/place.go
@@ -0,0 +1,140 @@
+package director
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/segment"
+)
+
+const (
+	// maxPlacements bounds the agents asked to take one new flow.
+	maxPlacements = 4
+	// quietLimit is the silence after which the copy of a first packet goes to
+	// another agent: two reports and a half.
+	quietLimit = 1200 * time.Millisecond
+	// startGrace is the time after the start in which agents may not have been
+	// heard yet; new flows wait for the caller's next copy.
+	startGrace = 1500 * time.Millisecond
+)
+
+// open decides about the first packet of a flow, or a copy of it.
+func (m *Model) open(now time.Time, s segment.Segment, data []byte) {
+	r, ok := m.declared.Routes[routing.Of(s.Tuple)]
+	if !ok {
+		m.reset(s, CauseNoRoute)
+		return
+	}
+	h := m.hints[s.Tuple]
+	if h == nil || h.first != s.Sequence {
+		h = &hint{
+			first: s.Sequence,
+		}
+	}
+	h.used = now
+	if h.member != nil && m.mayKeep(now, h.member) {
+		m.send(h.member, data, false)
+		return
+	}
+	m.place(now, r, h, s, data)
+}
+
+// mayKeep reports whether the copy of a first packet goes where the first went.
+func (m *Model) mayKeep(now time.Time, x *member) bool {
+	return !m.out[x.Domain] && x.open() && now.Sub(x.heard) < quietLimit && m.members[x.Name] == x
+}
+
+// place chooses an agent for a new flow.
+func (m *Model) place(now time.Time, r routing.Route, h *hint, s segment.Segment, data []byte) {
+	service, ok := r.Service(s.Tuple)
+	if !ok {
+		m.reset(s, CauseNoRoute)
+		return
+	}
+	if len(h.tried) >= maxPlacements {
+		m.refuse(s)
+		return
+	}
+	x := m.choose(now, service, h)
+	switch {
+	case x != nil:
+		h.member = x
+		x.placed++
+		m.stats.Placed++
+		m.remember(s.Tuple, h)
+		m.send(x, data, false)
+	case now.Sub(m.started) < startGrace && len(h.tried) == 0:
+		m.stats.Early++
+	default:
+		m.refuse(s)
+	}
+}
+
+// refuse tells the caller at once that no target takes its flow.
+func (m *Model) refuse(s segment.Segment) {
+	delete(m.hints, s.Tuple)
+	m.stats.Refused++
+	m.reset(s, CauseNoTarget)
+}
+
+func (m *Model) choose(now time.Time, service string, h *hint) *member {
+	m.choice = m.choice[:0]
+	m.choiceMembers = m.choiceMembers[:0]
+	for _, x := range m.services[service] {
+		if m.out[x.Domain] || !x.open() || h.hasTried(x) {
+			continue
+		}
+		m.choice = append(m.choice, x.candidate(now, m.config.Domain))
+		m.choiceMembers = append(m.choiceMembers, x)
+	}
+	i, ok := m.config.Placement.Choose(m.choice)
+	if !ok {
+		return nil
+	}
+	return m.choiceMembers[i]
+}
+
+// rejected decides again about a packet that an agent returned.
+func (m *Model) rejected(now time.Time, x RejectMsg) {
+	from := m.byAddr[x.From]
+	if from == nil || m.declared == nil {
+		return
+	}
+	m.stats.Rejected++
+	r, ok := m.declared.Routes[routing.Of(x.Segment.Tuple)]
+	if !ok {
+		m.reset(x.Segment, CauseNoRoute)
+		return
+	}
+	h := m.hints[x.Segment.Tuple]
+	if !x.Segment.Initial() {
+		if h != nil && h.member == from {
+			delete(m.hints, x.Segment.Tuple)
+			h = nil
+		}
+		m.notHeld(now, r, from, x, h)
+		return
+	}
+	if h == nil || h.first != x.Segment.Sequence || (h.member != nil && h.member != from) {
+		return
+	}
+	m.learnRejection(now, from, x.Reason)
+	h.tried = append(h.tried, from)
+	h.member = nil
+	m.place(now, r, h, x.Segment, x.Data)
+}
+
+// learnRejection corrects what is known of an agent that refused a new flow.
+func (m *Model) learnRejection(now time.Time, x *member, reason holder.RejectReason) {
+	x.rejected = now
+	switch reason {
+	case holder.RejectDraining:
+		x.report.Availability = holder.AvailabilityDraining
+	case holder.RejectDown:
+		x.report.Availability = holder.AvailabilityDown
+	}
+	if x.heard.IsZero() {
+		x.heard = now
+	}
+}
--- /dev/null
+++ b/director/roster.go
@@ -0,0 +1,107 @@
+package director
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// report takes what an agent says of itself.
+func (m *Model) report(now time.Time, x ReportMsg) {
+	k := m.members[x.Member.Name]
+	if k != nil && !k.supersedes(now, x.Member) {
+		return
+	}
+	if k == nil || k.Address != x.Member.Address || k.Service != x.Member.Service {
+		k = m.add(x.Member)
+	}
+	if k.heard.IsZero() || k.Incarnation != x.Member.Incarnation || k.report.Availability != x.Availability {
+		m.emit(NoteEffect{
+			Event:  "agent is " + x.Availability.String(),
+			Member: x.Member.Name,
+			Count:  int(x.Flows),
+		})
+	}
+	k.Member = x.Member
+	k.report = x.Report
+	k.heard = now
+	k.placed = 0
+}
+
+// add makes an agent known, in the place of any other at its address.
+func (m *Model) add(x Member) *member {
+	if k := m.members[x.Name]; k != nil {
+		m.remove(k)
+	}
+	if k := m.byAddr[x.Address]; k != nil {
+		m.remove(k)
+	}
+	k := &member{
+		Member: x,
+	}
+	m.members[x.Name] = k
+	m.byAddr[x.Address] = k
+	l := append(m.services[x.Service], k)
+	slices.SortFunc(l, func(a, b *member) int {
+		return strings.Compare(a.Name, b.Name)
+	})
+	m.services[x.Service] = l
+	return k
+}
+
+func (m *Model) remove(k *member) {
+	delete(m.members, k.Name)
+	delete(m.byAddr, k.Address)
+	m.services[k.Service] = slices.DeleteFunc(m.services[k.Service], func(x *member) bool {
+		return x == k
+	})
+	for t, h := range m.hints {
+		if h.member == k {
+			delete(m.hints, t)
+		}
+	}
+}
+
+// list takes the registered agents. Searches that waited for the list go on,
+// with the agents that it brought.
+func (m *Model) list(now time.Time, x MembersMsg) {
+	for _, k := range m.members {
+		k.listed = false
+	}
+	for _, y := range x.Members {
+		k := m.members[y.Name]
+		if k == nil || (k.heard.IsZero() && (k.Address != y.Address || k.Service != y.Service)) {
+			if o := m.byAddr[y.Address]; o != nil && !o.heard.IsZero() {
+				continue
+			}
+			k = m.add(y)
+			m.emit(SolicitEffect{
+				To: y.Address,
+			})
+		}
+		k.listed = true
+	}
+	if x.Asked.After(m.listedAt) {
+		m.listedAt = x.Asked
+	}
+	m.sweepMembers(now)
+	for _, l := range m.lookups {
+		if l.everywhere {
+			m.askEverywhere(l)
+		}
+		m.conclude(now, l)
+	}
+}
+
+// sweepMembers forgets silent agents that are not registered any more.
+func (m *Model) sweepMembers(now time.Time) {
+	for _, k := range m.members {
+		if !k.listed && now.Sub(k.heard) > unlistedLimit && !m.listedAt.IsZero() {
+			m.emit(NoteEffect{
+				Event:  "agent is forgotten",
+				Member: k.Name,
+			})
+			m.remove(k)
+		}
+	}
+}
--- /dev/null
+++ b/director/stats.go
@@ -0,0 +1,22 @@
+package director
+
+// Stats counts what a balancer did since its start.
+type Stats struct {
+	Delivered       uint64
+	Placed          uint64
+	Refused         uint64
+	Rejected        uint64
+	Reset           uint64
+	Forged          uint64
+	NoConfig        uint64
+	Early           uint64
+	Lookups         uint64
+	LookupsDropped  uint64
+	LookupsTimedOut uint64
+	Found           uint64
+	Unheld          uint64
+	Offers          uint64
+	Lists           uint64
+	Hints           int
+	Members         int
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,8 +15,8 @@
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/lease"
-	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/roster"
+	"github.com/lentilshed/lentilshed/store"
 )
 
 // ErrNoRegistrar is returned when no balancer could be asked.
@@ -56,8 +56,8 @@
 }
 
 // Find returns the control address of the registrar, from its lease.
-func Find(ctx context.Context, c *platform.Client, region string) (string, error) {
-	o, err := c.Get(ctx, platform.Key{
+func Find(ctx context.Context, c *store.Client, region string) (string, error) {
+	o, err := c.Get(ctx, store.Key{
 		Kind: balancer.LeaseKind,
 		Name: region,
 	})
@@ -93,7 +93,7 @@
 }
 
 // Read finds the registrar by its lease and asks every balancer of the region.
-func Read(ctx context.Context, c *platform.Client, region string) (*Snapshot, error) {
+func Read(ctx context.Context, c *store.Client, region string) (*Snapshot, error) {
 	address, err := Find(ctx, c, region)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/holder/deliver.go
@@ -0,0 +1,147 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/segment"
+)
+
+// deliver decides about a caller's packet.
+func (m *Model) deliver(now time.Time, x DeliverMsg) {
+	switch {
+	case x.Service != m.config.Service:
+		m.reject(x, RejectService)
+	case x.Segment.SynAck():
+		// Only backend servers accept flows; a caller's acceptance is forged.
+		m.stats.Forged++
+	case x.Segment.Initial():
+		m.open(now, x)
+	default:
+		m.continueFlow(now, x)
+	}
+}
+
+// open decides about the first packet of a flow, or a copy of it.
+func (m *Model) open(now time.Time, x DeliverMsg) {
+	e := m.flows[x.Segment.Tuple]
+	if e != nil && e.first == x.Segment.Sequence && e.state != entryOffered && e.state != entryEnded {
+		e.via = x.From
+		m.pass(now, e, x)
+		return
+	}
+	if r := m.admission(now); r != 0 {
+		m.reject(x, r)
+		return
+	}
+	e = &entry{
+		state: entryOpening,
+		via:   x.From,
+		first: x.Segment.Sequence,
+	}
+	m.remember(now, x.Segment.Tuple, e)
+	m.stats.Opened++
+	m.pass(now, e, x)
+}
+
+// admission returns why a new flow cannot be taken, or zero.
+func (m *Model) admission(now time.Time) RejectReason {
+	switch {
+	case m.stopping || m.server.draining:
+		return RejectDraining
+	case !m.server.ready:
+		return RejectDown
+	case m.declared.MaxFlows > 0 && len(m.flows) >= m.declared.MaxFlows:
+		return RejectFull
+	case m.declared.ColdRate <= 0:
+		return 0
+	case now.Before(m.server.coldUntil):
+		if !m.cold.Admit(now, m.declared.ColdRate) {
+			return RejectCold
+		}
+	default:
+		m.cold.Count(now)
+	}
+	return 0
+}
+
+// continueFlow decides about any later packet of a flow.
+func (m *Model) continueFlow(now time.Time, x DeliverMsg) {
+	e := m.flows[x.Segment.Tuple]
+	switch {
+	case e == nil:
+		m.unknown(now, x)
+		return
+	case e.state == entryOffered:
+		e.via = x.From
+		m.pass(now, e, x)
+		return
+	case e.state == entryOpening && x.Segment.Has(segment.Ack):
+		// Another target accepted this flow: nothing was accepted here yet.
+		m.reject(x, RejectNotHeld)
+		return
+	case e.state == entryAccepted && x.Segment.Has(segment.Ack) && !e.holds(x.Segment.Ack):
+		m.reject(x, RejectNotHeld)
+		return
+	}
+	e.via = x.From
+	if e.state == entryAccepted {
+		e.state = entryOpen
+	}
+	if x.Segment.Has(segment.Ack) {
+		e.lastAck = x.Segment.Ack
+	}
+	if x.Segment.Length > 0 && !e.working() {
+		e.asked = now
+		m.load.begin(now)
+	}
+	m.endOf(e, x.Segment, &e.callerFin)
+	m.pass(now, e, x)
+}
+
+// unknown decides about a packet of a flow that is not in the table. While
+// flows of the backend server may be missing there, it is handed over: the
+// backend server returns what it does not hold.
+func (m *Model) unknown(now time.Time, x DeliverMsg) {
+	if m.server.gone || (m.Exact(now) && !x.Offer) {
+		m.reject(x, RejectNotHeld)
+		return
+	}
+	if m.Exact(now) {
+		m.reject(x, RejectNotHeld)
+		return
+	}
+	e := &entry{
+		state:   entryOffered,
+		via:     x.From,
+		lastAck: x.Segment.Ack,
+	}
+	m.remember(now, x.Segment.Tuple, e)
+	m.stats.Offered++
+	m.pass(now, e, x)
+}
+
+func (m *Model) pass(now time.Time, e *entry, x DeliverMsg) {
+	e.seen = now
+	m.stats.ToTarget++
+	m.emit(ToTargetEffect{
+		Data: x.Data,
+	})
+}
+
+// endOf notes a segment that ends one direction or the whole flow.
+func (m *Model) endOf(e *entry, s segment.Segment, fin *bool) {
+	if s.Has(segment.Fin) {
+		*fin = true
+	}
+	if s.Has(segment.Rst) || (e.callerFin && e.targetFin) {
+		m.finish(e)
+	}
+}
+
+func (m *Model) finish(e *entry) {
+	if e.working() {
+		e.asked = time.Time{}
+		m.load.abandon()
+	}
+	e.state = entryEnded
+}
--- /dev/null
+++ b/holder/model.go
@@ -0,0 +1,262 @@
+// Package holder decides, beside each backend server, about every packet of
+// flows that the backend server itself ends. Model knows exactly which flows its
+// backend server holds: all packets of both directions pass it. Update takes a
+// message and returns effects; it does no I/O.
+package holder
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/segment"
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// Config says which target an agent serves.
+type Config struct {
+	Service string
+	// MaxEntries bounds the flows that are remembered.
+	MaxEntries int
+}
+
+// Model is the state of one agent. It belongs to one goroutine at a time.
+//
+//	m := holder.NewModel(config, now)
+//	for _, e := range m.Update(now, holder.TickMsg{}) { perform(e) }
+type Model struct {
+	config   Config
+	declared ConfigMsg
+	started  time.Time
+	flows    map[flow.Tuple]*entry
+	server   server
+	cold     *target.ColdBudget
+	load     load
+	stopping bool
+	sweepAt  time.Time
+	stats    Stats
+	effects  []Effect
+}
+
+// NewModel returns a model that knows nothing about its backend server yet.
+func NewModel(c Config, now time.Time) *Model {
+	if c.MaxEntries <= 0 {
+		c.MaxEntries = defaultMaxEntries
+	}
+	return &Model{
+		config:  c,
+		started: now,
+		flows:   map[flow.Tuple]*entry{},
+		cold:    target.NewColdBudget(now),
+		declared: ConfigMsg{
+			IdleTimeout: defaultIdleTimeout,
+		},
+		server: server{
+			bornAt: now,
+		},
+	}
+}
+
+const (
+	// defaultMaxEntries is four times the flows that one backend server holds.
+	defaultMaxEntries = 8192
+	// defaultIdleTimeout is used until a configuration is known.
+	defaultIdleTimeout = 15 * time.Second
+	// endedLinger keeps an ended flow known for its last retransmissions.
+	endedLinger = 3 * time.Second
+	// openingTimeout forgets a flow whose handshake never ended; a caller gives
+	// up after 1.4 s.
+	openingTimeout = 3 * time.Second
+	// ackWindow bounds how far an acknowledgement may be ahead of the start of
+	// a flow that has just opened.
+	ackWindow = 1 << 16
+	// sweepPeriod is the time between two searches for forgotten flows.
+	sweepPeriod = time.Second
+)
+
+// Update takes one message and returns what is to be done. The result is valid
+// until the next call.
+func (m *Model) Update(now time.Time, msg Msg) []Effect {
+	m.effects = m.effects[:0]
+	switch x := msg.(type) {
+	case DeliverMsg:
+		m.deliver(now, x)
+	case OutboundMsg:
+		m.outbound(now, x)
+	case QueryMsg:
+		m.query(now, x)
+	case HeartbeatMsg:
+		m.heartbeat(now, x)
+	case DeregisterMsg:
+		m.deregister(x)
+	case ProbeMsg:
+		m.probed(now, x)
+	case ConfigMsg:
+		m.declared = x
+	case WokenMsg:
+		m.woken(now)
+	case StopMsg:
+		m.stopping = true
+		m.emit(ReportEffect{})
+	case TickMsg:
+		m.tick(now)
+	}
+	return m.effects
+}
+
+// Exact reports whether every flow of the backend server is known here: this
+// agent has been there for the backend server's whole life, or for longer than
+// any unseen flow may stay silent.
+func (m *Model) Exact(now time.Time) bool {
+	return m.server.fresh || now.Sub(m.started) > m.declared.IdleTimeout+idleSlack
+}
+
+// idleSlack is added to the idle timeout before unseen flows are ruled out.
+const idleSlack = time.Second
+
+// Flows returns the number of flows that are known.
+func (m *Model) Flows() int {
+	return len(m.flows)
+}
+
+// Stats returns the counters so far.
+func (m *Model) Stats() Stats {
+	return m.stats
+}
+
+func (m *Model) emit(e Effect) {
+	m.effects = append(m.effects, e)
+}
+
+func (m *Model) tick(now time.Time) {
+	m.load.tick(now)
+	m.watch(now)
+	if now.Before(m.sweepAt) {
+		return
+	}
+	m.sweepAt = now.Add(sweepPeriod)
+	m.sweep(now)
+}
+
+// sweep forgets flows that have ended or were silent for too long.
+func (m *Model) sweep(now time.Time) {
+	for t, e := range m.flows {
+		if now.Sub(e.seen) > m.lifetime(e) {
+			m.forget(t, e)
+		}
+	}
+}
+
+func (m *Model) lifetime(e *entry) time.Duration {
+	switch e.state {
+	case entryOpening, entryAccepted, entryOffered:
+		return openingTimeout
+	case entryEnded:
+		return endedLinger
+	}
+	return m.declared.IdleTimeout + idleSlack
+}
+
+func (m *Model) forget(t flow.Tuple, e *entry) {
+	if e.working() {
+		m.load.abandon()
+	}
+	delete(m.flows, t)
+}
+
+// remember adds a flow; when the table is full the longest silent one of a few
+// goes.
+func (m *Model) remember(now time.Time, t flow.Tuple, e *entry) {
+	if old := m.flows[t]; old != nil {
+		m.forget(t, old)
+	}
+	if len(m.flows) >= m.config.MaxEntries {
+		m.evictOne()
+	}
+	e.seen = now
+	m.flows[t] = e
+}
+
+// evictSample is how many flows are compared when one must go.
+const evictSample = 8
+
+func (m *Model) evictOne() {
+	var oldest flow.Tuple
+	var found *entry
+	n := 0
+	for t, e := range m.flows {
+		if found == nil || e.seen.Before(found.seen) {
+			oldest = t
+			found = e
+		}
+		n++
+		if n == evictSample {
+			break
+		}
+	}
+	if found != nil {
+		m.stats.Evicted++
+		m.forget(oldest, found)
+	}
+}
+
+// resetAll ends all flows: the backend server that held them is gone.
+func (m *Model) resetAll(cause ResetCause) {
+	n := 0
+	for t, e := range m.flows {
+		if e.state != entryEnded && e.state != entryOffered {
+			m.emit(ResetEffect{
+				Tuple:    t,
+				Sequence: e.lastAck,
+				Cause:    cause,
+			})
+			n++
+		}
+		m.forget(t, e)
+	}
+	m.stats.Reset += uint64(n)
+	m.emit(NoteEffect{
+		Event: string(cause),
+		Count: n,
+	})
+}
+
+func (m *Model) reject(x DeliverMsg, r RejectReason) {
+	m.stats.Rejected[r]++
+	m.emit(RejectEffect{
+		To:      x.From,
+		Reason:  r,
+		Segment: x.Segment,
+		Data:    x.Data,
+	})
+}
+
+// query says which flows the backend server holds.
+func (m *Model) query(now time.Time, x QueryMsg) {
+	a := AnswerEffect{
+		To: x.From,
+	}
+	for _, p := range x.Flows {
+		e := m.flows[p.Tuple]
+		switch {
+		case e != nil && e.holds(p.Ack):
+			a.Held = append(a.Held, p.Tuple)
+		case e != nil && e.state == entryOffered, e == nil && !m.Exact(now) && !m.server.gone:
+			a.Unsure = append(a.Unsure, p.Tuple)
+		default:
+			a.Unheld = append(a.Unheld, p.Tuple)
+		}
+	}
+	m.emit(a)
+}
+
+// holds reports whether the backend server holds the flow whose caller has
+// acknowledged ack.
+func (e *entry) holds(ack uint32) bool {
+	switch e.state {
+	case entryOpen, entryEnded:
+		return true
+	case entryAccepted:
+		return segment.After(ack, e.accepted, ackWindow)
+	}
+	return false
+}
--- /dev/null
+++ b/holder/report.go
@@ -0,0 +1,60 @@
+package holder
+
+import "time"
+
+// Availability says whether a target takes new flows.
+type Availability uint8
+
+const (
+	// AvailabilityDown is a backend server that is not there or not yet heard.
+	AvailabilityDown Availability = iota
+	// AvailabilityOpen is a backend server that takes new flows.
+	AvailabilityOpen
+	// AvailabilityDraining is a backend server or an agent that leaves.
+	AvailabilityDraining
+)
+
+var availabilityNames = [...]string{"down", "open", "draining"}
+
+// String returns the availability for logs.
+func (a Availability) String() string {
+	return availabilityNames[a]
+}
+
+// Report is what an agent tells balancers about its target.
+type Report struct {
+	Availability Availability
+	Slots        uint32
+	Flows        uint32
+	Busy         float64
+	Cold         time.Duration
+	Latency      time.Duration
+}
+
+// Report returns the present state of the target.
+func (m *Model) Report(now time.Time) Report {
+	m.load.advance(now)
+	return Report{
+		Availability: m.availability(),
+		Slots:        m.server.slots,
+		Flows:        uint32(len(m.flows)),
+		Busy:         m.load.busy,
+		Cold:         max(0, m.server.coldUntil.Sub(now)),
+		Latency:      m.load.latency,
+	}
+}
+
+func (m *Model) availability() Availability {
+	switch {
+	case m.stopping || m.server.draining:
+		return AvailabilityDraining
+	case m.server.ready && !m.server.silent:
+		return AvailabilityOpen
+	}
+	return AvailabilityDown
+}
+
+// Ended reports whether the backend server has said farewell or is gone.
+func (m *Model) Ended() bool {
+	return m.server.gone || m.server.left
+}
--- /dev/null
+++ b/holder/server.go
@@ -0,0 +1,185 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/target"
+)
+
+// server is what an agent knows about its backend server.
+type server struct {
+	// known is set once the present life of the backend server has spoken.
+	known    bool
+	id       target.ID
+	born     uint64
+	sequence uint64
+	slots    uint32
+	// ready is set while the backend server takes new flows.
+	ready    bool
+	draining bool
+	// left is set once it has said farewell.
+	left bool
+	// gone is set when its process is known to have ended.
+	gone bool
+	// fresh is set when this agent has been there for its whole life.
+	fresh     bool
+	coldUntil time.Time
+	// bornAt is when this agent began to wait for the backend server.
+	bornAt time.Time
+	// beatAt is the latest heartbeat, sentAt the latest packet, and probedAt the
+	// latest probe that was asked for.
+	beatAt   time.Time
+	sentAt   time.Time
+	probedAt time.Time
+	// silent is set while it answers neither packets nor probes.
+	silent bool
+}
+
+const (
+	// staleBornLimit is the silence after which a heartbeat with an earlier time
+	// of birth is believed: the time of day may have jumped back before the
+	// backend server started again.
+	staleBornLimit = 3 * time.Second
+	// startProbePeriod is the time between probes until the first good answer.
+	startProbePeriod = 150 * time.Millisecond
+	// silenceLimit is the time without any packet from a backend server with
+	// requests in work after which it is probed. A request takes tens of
+	// milliseconds.
+	silenceLimit = 250 * time.Millisecond
+	// silenceProbePeriod is the time between probes of a silent backend server.
+	silenceProbePeriod = 300 * time.Millisecond
+	// beatLimit is the time without a heartbeat after which a backend server is
+	// probed: two heartbeats and a half.
+	beatLimit = 3 * time.Second
+)
+
+// heartbeat takes what the backend server says of itself.
+func (m *Model) heartbeat(now time.Time, x HeartbeatMsg) {
+	s := &m.server
+	switch {
+	case s.known && x.Born == s.born && x.ID == s.id:
+		if x.Sequence <= s.sequence {
+			return
+		}
+	case x.Born <= s.born && now.Sub(s.beatAt) < staleBornLimit:
+		m.stats.StaleHeartbeats++
+		return
+	default:
+		m.newLife(x)
+	}
+	was := m.availability()
+	s.known = true
+	s.id = x.ID
+	s.born = x.Born
+	s.sequence = x.Sequence
+	s.slots = x.Slots
+	s.draining = x.Draining
+	s.ready = !x.Draining
+	s.gone = false
+	s.left = false
+	s.silent = false
+	s.beatAt = now
+	s.coldUntil = now.Add(x.Cold)
+	m.reportChange(was)
+}
+
+// newLife ends the flows of an earlier life of the backend server.
+func (m *Model) newLife(x HeartbeatMsg) {
+	s := &m.server
+	if s.known {
+		m.resetAll(CauseTargetReplaced)
+		s.fresh = true
+	}
+	m.emit(NoteEffect{
+		Event: "backend server " + string(x.ID) + " announced itself",
+		Count: len(m.flows),
+	})
+}
+
+// deregister closes the gate of a backend server that ends now. Its flows end
+// when its process is seen to be gone.
+func (m *Model) deregister(x DeregisterMsg) {
+	s := &m.server
+	if !s.known || x.ID != s.id {
+		return
+	}
+	was := m.availability()
+	s.ready = false
+	s.draining = true
+	s.left = true
+	m.reportChange(was)
+}
+
+// probed takes the result of a probe.
+func (m *Model) probed(now time.Time, x ProbeMsg) {
+	s := &m.server
+	was := m.availability()
+	switch x.Result {
+	case ProbeRefused:
+		if !s.gone && (s.known || s.ready || len(m.flows) > 0) {
+			m.resetAll(CauseTargetGone)
+		}
+		s.gone = true
+		s.fresh = true
+		s.known = false
+		s.ready = false
+		s.silent = false
+	case ProbeReady:
+		if !s.known {
+			s.ready = true
+			s.gone = false
+			s.draining = false
+		}
+		s.silent = false
+	case ProbeAlive:
+		s.silent = false
+	case ProbeSilent:
+		s.silent = now.Sub(s.sentAt) > silenceLimit
+	}
+	m.reportChange(was)
+}
+
+// watch asks for probes while the backend server is not heard as expected.
+func (m *Model) watch(now time.Time) {
+	s := &m.server
+	switch {
+	case !s.known && !s.ready:
+		m.probe(now, startProbePeriod, true)
+	case m.load.waiting() && now.Sub(s.sentAt) > silenceLimit && now.Sub(m.load.since) > silenceLimit:
+		m.probe(now, silenceProbePeriod, false)
+	case s.known && now.Sub(s.beatAt) > beatLimit:
+		m.probe(now, silenceProbePeriod, false)
+	}
+}
+
+func (m *Model) probe(now time.Time, period time.Duration, health bool) {
+	if now.Sub(m.server.probedAt) < period {
+		return
+	}
+	m.server.probedAt = now
+	m.stats.Probes++
+	m.emit(ProbeEffect{
+		Health: health,
+	})
+}
+
+// woken treats what is known of the backend server as old.
+func (m *Model) woken(now time.Time) {
+	m.server.known = false
+	m.server.ready = false
+	m.cold = target.NewColdBudget(now)
+	m.emit(ReportEffect{})
+}
+
+// reportChange tells balancers when new flows are taken or refused from now on.
+func (m *Model) reportChange(was Availability) {
+	is := m.availability()
+	if is == was {
+		return
+	}
+	m.emit(NoteEffect{
+		Event: "availability is " + is.String(),
+		Count: len(m.flows),
+	})
+	m.emit(ReportEffect{})
+}
--- /dev/null
+++ b/host/agent.go
@@ -0,0 +1,261 @@
+package host
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/relay"
+)
+
+// AgentConfig says where an agent runs and what it works with.
+type AgentConfig struct {
+	Name   string
+	Domain string
+	// Peer is where balancers send datagrams; packets for callers go to the same
+	// port of theirs.
+	Peer netip.AddrPort
+	// Outbound is where the backend server sends its packets.
+	Outbound netip.AddrPort
+	Backend  Backend
+	// Balancers are addresses to start from.
+	Balancers []netip.AddrPort
+	Form      PacketForm
+	Registry  Registry
+	Note      func(Note)
+}
+
+// Agent is a running agent.
+type Agent struct {
+	config    AgentConfig
+	mu        sync.Mutex
+	model     *holder.Model
+	self      director.Member
+	balancers map[netip.AddrPort]time.Time
+	peer      *socket
+	outbound  *socket
+	out       []byte
+	service   relay.ServiceID
+	probing   atomic.Bool
+	// registered is set once this agent is in the registry, or has tried for
+	// long enough.
+	registered atomic.Bool
+	healthPath atomic.Pointer[string]
+	reportAt   time.Time
+	cancel     context.CancelFunc
+	wait       sync.WaitGroup
+}
+
+const (
+	// reportPeriod is the time between two reports without news.
+	reportPeriod = 500 * time.Millisecond
+	// balancerLifetime forgets a balancer that was neither heard nor listed.
+	balancerLifetime = 20 * time.Second
+	// maxBalancers bounds the balancers that get reports.
+	maxBalancers = 64
+	// registerPatience is the time after which an agent serves without a record:
+	// the registry may be away for long.
+	registerPatience = 1500 * time.Millisecond
+	// lastReportDelay lets balancers hear that an agent leaves.
+	lastReportDelay = 150 * time.Millisecond
+	// declaredPeriod is the time between two reads of what is declared about the
+	// service.
+	declaredPeriod = 10 * time.Second
+)
+
+// NewAgent opens the sockets and starts all duties.
+func NewAgent(c AgentConfig) (*Agent, error) {
+	now := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &Agent{
+		config: c,
+		model: holder.NewModel(holder.Config{
+			Service: c.Backend.Service,
+		}, now),
+		self: director.Member{
+			Name:        c.Name,
+			Address:     c.Peer,
+			Service:     c.Backend.Service,
+			Domain:      c.Domain,
+			Incarnation: uint64(now.UnixMicro()),
+		},
+		balancers: map[netip.AddrPort]time.Time{},
+		service:   relay.NewServiceID(c.Backend.Service),
+		cancel:    cancel,
+	}
+	for _, x := range c.Balancers {
+		a.balancers[x] = now
+	}
+	var err error
+	if a.peer, err = openSocket(c.Peer); err != nil {
+		cancel()
+		return nil, err
+	}
+	if a.outbound, err = openSocket(c.Outbound); err != nil {
+		cancel()
+		a.peer.close()
+		return nil, err
+	}
+	a.start(ctx)
+	return a, nil
+}
+
+func (a *Agent) start(ctx context.Context) {
+	a.wait.Go(func() { a.peer.serve(a.fromPeer) })
+	a.wait.Go(func() { a.outbound.serve(a.fromTarget) })
+	a.wait.Go(func() { a.followDeclared(ctx) })
+	a.wait.Go(func() { a.register(ctx) })
+	a.wait.Go(func() { a.followBalancers(ctx) })
+	a.wait.Go(func() { a.ticks(ctx) })
+}
+
+// Ready reports whether the agent serves.
+func (a *Agent) Ready() bool {
+	return true
+}
+
+// Heartbeat takes what the backend server says of itself. When it returns, no
+// new flow passes to a backend server that leaves.
+func (a *Agent) Heartbeat(m holder.HeartbeatMsg) {
+	a.update(m)
+}
+
+// Deregister takes the farewell of the backend server.
+func (a *Agent) Deregister(m holder.DeregisterMsg) {
+	a.update(m)
+}
+
+// Stats returns the counters so far.
+func (a *Agent) Stats() holder.Stats {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.model.Stats()
+}
+
+// Stop tells balancers that the agent leaves, and ends. The record goes when
+// the backend server has ended before.
+func (a *Agent) Stop() {
+	a.update(holder.StopMsg{})
+	time.Sleep(lastReportDelay)
+	a.mu.Lock()
+	ended := a.model.Ended()
+	a.mu.Unlock()
+	if ended {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		if err := a.config.Registry.UnregisterAgent(ctx, a.config.Name); err != nil {
+			a.failed("record was not removed", err)
+		}
+	}
+	a.Kill()
+}
+
+// Kill ends all duties at once.
+func (a *Agent) Kill() {
+	a.cancel()
+	a.peer.close()
+	a.outbound.close()
+	a.wait.Wait()
+}
+
+func (a *Agent) update(m holder.Msg) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.apply(time.Now(), m)
+}
+
+func (a *Agent) apply(now time.Time, m holder.Msg) {
+	for _, e := range a.model.Update(now, m) {
+		a.perform(now, e)
+	}
+}
+
+func (a *Agent) fromTarget(_ netip.AddrPort, p []byte) {
+	s, err := a.config.Form.FromTarget(p)
+	if err != nil {
+		return
+	}
+	a.update(holder.OutboundMsg{
+		Segment: s,
+		Data:    p,
+	})
+}
+
+func (a *Agent) ticks(ctx context.Context) {
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	var s standstill
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if s.check() {
+			a.config.Note(Note{
+				Event: "process stood still, asking the backend server again",
+			})
+			a.update(holder.WokenMsg{})
+		}
+		a.tick()
+	}
+}
+
+func (a *Agent) tick() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.apply(now, holder.TickMsg{})
+	if now.Sub(a.reportAt) >= reportPeriod {
+		a.report(now)
+	}
+}
+
+// report tells all balancers about this target. The lock is held.
+func (a *Agent) report(now time.Time) {
+	if !a.registered.Load() {
+		return
+	}
+	a.reportAt = now
+	a.self.Sequence++
+	d := reportOf(a.self, a.model.Report(now))
+	out, err := relay.AppendControl(a.out[:0], d)
+	if err != nil {
+		a.failed("report was not sent", err)
+		return
+	}
+	a.out = out
+	for x, seen := range a.balancers {
+		if now.Sub(seen) > balancerLifetime {
+			delete(a.balancers, x)
+			continue
+		}
+		a.send(a.peer, a.out, x)
+	}
+}
+
+// heard notes that a balancer is there. The lock is held.
+func (a *Agent) heard(now time.Time, from netip.AddrPort) bool {
+	_, known := a.balancers[from]
+	if known || len(a.balancers) < maxBalancers {
+		a.balancers[from] = now
+	}
+	return known
+}
+
+func (a *Agent) send(s *socket, b []byte, to netip.AddrPort) {
+	if err := s.send(b, to); err != nil {
+		a.failed("datagram was not sent", err)
+	}
+}
+
+func (a *Agent) failed(event string, err error) {
+	a.config.Note(Note{
+		Event: event,
+		Err:   err,
+	})
+}
--- /dev/null
+++ b/host/balancer.go
@@ -0,0 +1,373 @@
+// Package host runs the decisions of package director and package holder: it
+// reads and sends datagrams, follows the registry and keeps the timers. Packets
+// are decided and sent on by the goroutine that read them, under one lock: on
+// instances with a small part of a core, handing packets between goroutines
+// costs more than the decisions.
+package host
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/placement"
+	"github.com/lentilshed/lentilshed/relay"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/store"
+)
+
+// BalancerConfig says where a balancer runs and what it works with.
+type BalancerConfig struct {
+	Name   string
+	Domain string
+	// Packets is where the fabric sends the packets of callers, and the port of
+	// callers themselves.
+	Packets netip.AddrPort
+	// Peer is where agents and other balancers send datagrams.
+	Peer netip.AddrPort
+	// Grace bounds the time from the request to stop to the end.
+	Grace     time.Duration
+	Placement placement.Config
+	Form      PacketForm
+	Registry  Registry
+	Note      func(Note)
+}
+
+// Balancer is a running balancer.
+type Balancer struct {
+	config  BalancerConfig
+	mu      sync.Mutex
+	model   *director.Model
+	packets *socket
+	peer    *socket
+	out     []byte
+	list    chan struct{}
+	// flushing is set while a flush of queries is due.
+	flushing bool
+	stopping atomic.Bool
+	// passed counts packets of callers, so that a stop can wait for them.
+	passed atomic.Uint64
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+const (
+	// tickPeriod is shorter than every timeout of the decisions.
+	tickPeriod = 50 * time.Millisecond
+	// flushDelay collects questions about flows into few datagrams.
+	flushDelay = 2 * time.Millisecond
+	// listPeriod is the time between two cached lists of agents.
+	listPeriod = 5 * time.Second
+	// callTimeout bounds one call of the registry.
+	callTimeout = 800 * time.Millisecond
+	// callPause is the time between failed calls.
+	callPause = 250 * time.Millisecond
+	// configWait is the longest time without news from the registry; accepted
+	// configurations are in force within 3 s.
+	configWait = 1200 * time.Millisecond
+)
+
+// NewBalancer opens the sockets and starts all duties.
+func NewBalancer(c BalancerConfig) (*Balancer, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Balancer{
+		config: c,
+		model: director.NewModel(director.Config{
+			Domain:    c.Domain,
+			Placement: c.Placement,
+		}, time.Now()),
+		list:   make(chan struct{}, 1),
+		cancel: cancel,
+	}
+	var err error
+	if b.packets, err = openSocket(c.Packets); err != nil {
+		cancel()
+		return nil, err
+	}
+	if b.peer, err = openSocket(c.Peer); err != nil {
+		cancel()
+		b.packets.close()
+		return nil, err
+	}
+	b.start(ctx)
+	return b, nil
+}
+
+func (b *Balancer) start(ctx context.Context) {
+	b.run(func() { b.packets.serve(b.fromFabric) })
+	b.run(func() { b.peer.serve(b.fromPeer) })
+	b.run(func() { b.followConfig(ctx) })
+	b.run(func() { b.followDomains(ctx) })
+	b.run(func() { b.followAgents(ctx) })
+	b.run(func() { b.register(ctx) })
+	b.run(func() { b.ticks(ctx) })
+}
+
+func (b *Balancer) run(f func()) {
+	b.wait.Go(f)
+}
+
+// Ready reports whether the fabric should send packets here.
+func (b *Balancer) Ready() bool {
+	if b.stopping.Load() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.model.Ready()
+}
+
+// Stats returns the counters so far.
+func (b *Balancer) Stats() director.Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.model.Stats()
+}
+
+const (
+	// rotationDelay is the time after which the fabric has left out a balancer
+	// that is not ready: two questions, twice a second, and some slack.
+	rotationDelay = 1600 * time.Millisecond
+	// quietTime is the time without packets after which a stop goes on.
+	quietTime = 500 * time.Millisecond
+	// stopReserve is kept of the grace time for the end of the process.
+	stopReserve = 1500 * time.Millisecond
+)
+
+// Stop leaves the rotation, passes packets on until none come, and ends.
+func (b *Balancer) Stop() {
+	b.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), b.config.Grace-stopReserve)
+	defer cancel()
+	b.config.unregister(ctx)
+	pause(ctx, rotationDelay)
+	for n := b.passed.Load(); ctx.Err() == nil; {
+		pause(ctx, quietTime)
+		if x := b.passed.Load(); x == n {
+			break
+		} else {
+			n = x
+		}
+	}
+	b.Kill()
+}
+
+func (c *BalancerConfig) unregister(ctx context.Context) {
+	x, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := c.Registry.UnregisterBalancer(x, c.Name); err != nil {
+		c.Note(Note{
+			Event: "record was not removed",
+			Err:   err,
+		})
+	}
+}
+
+// Kill ends all duties at once.
+func (b *Balancer) Kill() {
+	b.cancel()
+	b.packets.close()
+	b.peer.close()
+	b.wait.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (b *Balancer) fromFabric(_ netip.AddrPort, p []byte) {
+	s, err := b.config.Form.FromCaller(p)
+	if err != nil {
+		return
+	}
+	b.passed.Add(1)
+	b.update(director.PacketMsg{
+		Segment: s,
+		Data:    p,
+	})
+}
+
+func (b *Balancer) update(m director.Msg) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.model.Update(time.Now(), m) {
+		b.perform(e)
+	}
+	if b.model.Queued() && !b.flushing {
+		b.flushing = true
+		time.AfterFunc(flushDelay, b.flush)
+	}
+}
+
+func (b *Balancer) flush() {
+	b.mu.Lock()
+	b.flushing = false
+	b.mu.Unlock()
+	b.update(director.FlushMsg{})
+}
+
+func (b *Balancer) ticks(ctx context.Context) {
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	var s standstill
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if s.check() {
+			b.config.Note(Note{
+				Event: "process stood still, asking for new reports",
+			})
+			b.update(director.WokenMsg{})
+		}
+		b.update(director.TickMsg{})
+	}
+}
+
+func (b *Balancer) followConfig(ctx context.Context) {
+	f := store.Feed[*routing.Config]{
+		Read:     b.config.Registry.Config,
+		Wait:     b.config.Registry.WaitConfig,
+		WaitTime: func() time.Duration { return configWait },
+		Changed: func(c *routing.Config, _ store.Revision) {
+			b.update(director.ConfigMsg{
+				Config: c,
+			})
+		},
+		Confirmed: func(time.Time) {},
+		Failed:    b.failed("follow configuration"),
+	}
+	f.Run(ctx)
+}
+
+func (b *Balancer) followDomains(ctx context.Context) {
+	f := store.Feed[[]string]{
+		Read:     b.config.Registry.Domains,
+		Wait:     b.config.Registry.WaitDomains,
+		WaitTime: func() time.Duration { return configWait },
+		Changed: func(out []string, r store.Revision) {
+			b.update(director.DomainsMsg{
+				Out:      out,
+				Revision: uint64(r),
+			})
+		},
+		Confirmed: func(time.Time) {},
+		Failed:    b.failed("follow failure domains"),
+	}
+	f.Run(ctx)
+}
+
+func (b *Balancer) failed(event string) func(error) {
+	return func(err error) {
+		b.config.Note(Note{
+			Event: event,
+			Err:   err,
+		})
+	}
+}
+
+// followAgents lists the registered agents at the start, whenever a decision
+// needs a fresh list, and now and then.
+func (b *Balancer) followAgents(ctx context.Context) {
+	fresh := true
+	for ctx.Err() == nil {
+		asked := time.Now()
+		c, cancel := context.WithTimeout(ctx, callTimeout)
+		l, err := b.config.Registry.Agents(c, !fresh)
+		cancel()
+		if err != nil {
+			b.failed("list agents")(err)
+			pause(ctx, callPause)
+			continue
+		}
+		if !fresh {
+			// A cached list may be older than any time of asking.
+			asked = time.Time{}
+		}
+		b.update(director.MembersMsg{
+			Members: l,
+			Asked:   asked,
+		})
+		fresh = b.waitList(ctx)
+	}
+}
+
+// waitList reports whether a fresh list is wanted.
+func (b *Balancer) waitList(ctx context.Context) bool {
+	t := time.NewTimer(listPeriod)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-b.list:
+		return true
+	}
+	return false
+}
+
+func (b *Balancer) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		c, cancel := context.WithTimeout(ctx, callTimeout)
+		err := b.config.Registry.RegisterBalancer(c, b.config.Name, b.config.Domain, b.config.Peer)
+		cancel()
+		if err == nil {
+			return
+		}
+		b.failed("register balancer")(err)
+		pause(ctx, callPause)
+	}
+}
+
+// perform does what the model decided. The lock is held.
+func (b *Balancer) perform(e director.Effect) {
+	switch x := e.(type) {
+	case director.DeliverEffect:
+		b.out = relay.AppendDeliver(b.out[:0], relay.Deliver{
+			Service: relay.NewServiceID(x.Service),
+			Offer:   x.Offer,
+		}, x.Data)
+		b.send(b.peer, x.To)
+	case director.ResetEffect:
+		b.out = b.config.Form.AppendReset(b.out[:0], x.Tuple, x.Sequence)
+		b.send(b.packets, callerAddress(x.Tuple, b.config.Packets.Port()))
+		b.config.Note(Note{
+			Event: "flow is reset: " + string(x.Cause),
+			Flow:  x.Tuple,
+		})
+	case director.QueryEffect:
+		b.sendControl(queryOf(x.Flows), x.To)
+	case director.SolicitEffect:
+		b.sendControl(solicit, x.To)
+	case director.ListEffect:
+		select {
+		case b.list <- struct{}{}:
+		default:
+		}
+	case director.NoteEffect:
+		b.config.Note(Note{
+			Event:  x.Event,
+			Flow:   x.Flow,
+			Member: x.Member,
+			Count:  x.Count,
+		})
+	}
+}
+
+func (b *Balancer) send(s *socket, to netip.AddrPort) {
+	if err := s.send(b.out, to); err != nil {
+		b.config.Note(Note{
+			Event: "datagram was not sent",
+			Err:   err,
+		})
+	}
+}
--- /dev/null
+++ b/host/balancer_peer.go
@@ -0,0 +1,70 @@
+package host
+
+import (
+	"net/netip"
+
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/relay"
+)
+
+// fromPeer takes a datagram of an agent or of another balancer.
+func (b *Balancer) fromPeer(from netip.AddrPort, p []byte) {
+	if len(p) == 0 {
+		return
+	}
+	switch relay.Kind(p[0]) {
+	case relay.KindReject:
+		b.fromRejection(from, p)
+	case relay.KindControl:
+		b.fromControl(from, p)
+	}
+}
+
+func (b *Balancer) fromRejection(from netip.AddrPort, p []byte) {
+	reason, data, err := relay.ParseReject(p)
+	if err != nil {
+		return
+	}
+	s, err := b.config.Form.FromCaller(data)
+	if err != nil {
+		return
+	}
+	b.update(director.RejectMsg{
+		From:    from,
+		Reason:  holder.RejectReason(reason),
+		Segment: s,
+		Data:    data,
+	})
+}
+
+func (b *Balancer) fromControl(from netip.AddrPort, p []byte) {
+	d, err := relay.ParseControl(p)
+	if err != nil {
+		b.config.Note(Note{
+			Event: "control datagram was dropped",
+			Err:   err,
+		})
+		return
+	}
+	switch x := d.GetBody().(type) {
+	case *controlpb.Datagram_Report:
+		b.update(reportMsg(from, x.Report))
+	case *controlpb.Datagram_Answer:
+		b.update(answerMsg(from, x.Answer))
+	}
+}
+
+func (b *Balancer) sendControl(d *controlpb.Datagram, to netip.AddrPort) {
+	out, err := relay.AppendControl(b.out[:0], d)
+	if err != nil {
+		b.config.Note(Note{
+			Event: "control datagram was not sent",
+			Err:   err,
+		})
+		return
+	}
+	b.out = out
+	b.send(b.peer, to)
+}
--- /dev/null
+++ b/host/message.go
@@ -0,0 +1,124 @@
+package host
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/relay"
+)
+
+var solicit = &controlpb.Datagram{
+	Body: &controlpb.Datagram_Solicit{
+		Solicit: &controlpb.Solicit{},
+	},
+}
+
+// callerAddress is where packets for the caller of a flow are sent.
+func callerAddress(t flow.Tuple, port uint16) netip.AddrPort {
+	return flow.AddrPort(t.Caller, port)
+}
+
+func queryOf(l []holder.Probe) *controlpb.Datagram {
+	q := &controlpb.FlowQuery{}
+	for _, p := range l {
+		q.Flows = append(q.Flows, relay.EncodeFlow(p.Tuple, p.Ack))
+	}
+	return &controlpb.Datagram{
+		Body: &controlpb.Datagram_Query{
+			Query: q,
+		},
+	}
+}
+
+func queryMsg(from netip.AddrPort, q *controlpb.FlowQuery) holder.QueryMsg {
+	m := holder.QueryMsg{
+		From: from,
+	}
+	for _, f := range q.GetFlows() {
+		m.Flows = append(m.Flows, holder.Probe{
+			Tuple: relay.DecodeFlow(f),
+			Ack:   f.GetAck(),
+		})
+	}
+	return m
+}
+
+func answerOf(e holder.AnswerEffect) *controlpb.Datagram {
+	return &controlpb.Datagram{
+		Body: &controlpb.Datagram_Answer{
+			Answer: &controlpb.FlowAnswer{
+				Held:   relay.EncodeFlows(e.Held),
+				Unheld: relay.EncodeFlows(e.Unheld),
+				Unsure: relay.EncodeFlows(e.Unsure),
+			},
+		},
+	}
+}
+
+func answerMsg(from netip.AddrPort, a *controlpb.FlowAnswer) director.AnswerMsg {
+	return director.AnswerMsg{
+		From:   from,
+		Held:   relay.DecodeFlows(a.GetHeld()),
+		Unheld: relay.DecodeFlows(a.GetUnheld()),
+		Unsure: relay.DecodeFlows(a.GetUnsure()),
+	}
+}
+
+// milli scales numbers of requests to whole thousandths.
+const milli = 1000
+
+func reportOf(m director.Member, r holder.Report) *controlpb.Datagram {
+	return &controlpb.Datagram{
+		Body: &controlpb.Datagram_Report{
+			Report: &controlpb.Report{
+				Name:          m.Name,
+				Service:       m.Service,
+				Domain:        m.Domain,
+				Incarnation:   m.Incarnation,
+				Sequence:      m.Sequence,
+				Availability:  availabilities[r.Availability],
+				Slots:         r.Slots,
+				Flows:         r.Flows,
+				BusyMilli:     uint32(r.Busy * milli),
+				ColdMs:        uint32(r.Cold.Milliseconds()),
+				LatencyMicros: uint32(r.Latency.Microseconds()),
+			},
+		},
+	}
+}
+
+var availabilities = [...]controlpb.MemberAvailability{
+	holder.AvailabilityDown:     controlpb.MemberAvailability_MEMBER_AVAILABILITY_DOWN,
+	holder.AvailabilityOpen:     controlpb.MemberAvailability_MEMBER_AVAILABILITY_OPEN,
+	holder.AvailabilityDraining: controlpb.MemberAvailability_MEMBER_AVAILABILITY_DRAINING,
+}
+
+func reportMsg(from netip.AddrPort, r *controlpb.Report) director.ReportMsg {
+	m := director.ReportMsg{
+		Member: director.Member{
+			Name:        r.GetName(),
+			Address:     from,
+			Service:     r.GetService(),
+			Domain:      r.GetDomain(),
+			Incarnation: r.GetIncarnation(),
+			Sequence:    r.GetSequence(),
+		},
+		Report: holder.Report{
+			Slots:   r.GetSlots(),
+			Flows:   r.GetFlows(),
+			Busy:    float64(r.GetBusyMilli()) / milli,
+			Cold:    time.Duration(r.GetColdMs()) * time.Millisecond,
+			Latency: time.Duration(r.GetLatencyMicros()) * time.Microsecond,
+		},
+	}
+	for a, x := range availabilities {
+		if x == r.GetAvailability() {
+			m.Availability = holder.Availability(a)
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/host/note.go
@@ -0,0 +1,13 @@
+package host
+
+import "github.com/lentilshed/lentilshed/flow"
+
+// Note is one line for the log: a decision or a change of what the process
+// believes.
+type Note struct {
+	Event  string
+	Flow   flow.Tuple
+	Member string
+	Count  int
+	Err    error
+}
--- /dev/null
+++ b/host/probe.go
@@ -0,0 +1,58 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/holder"
+	"golang.org/x/sys/unix"
+)
+
+// probeTimeout bounds one probe of a backend server on the same instance.
+const probeTimeout = 400 * time.Millisecond
+
+// probe opens a connection to a backend server. With a path it also asks for
+// its health.
+func probe(a netip.AddrPort, path string) holder.ProbeResult {
+	d := net.Dialer{
+		Timeout: probeTimeout,
+	}
+	c, err := d.Dial("tcp4", a.String())
+	switch {
+	case errors.Is(err, unix.ECONNREFUSED):
+		return holder.ProbeRefused
+	case err != nil:
+		return holder.ProbeSilent
+	}
+	defer func() { _ = c.Close() }()
+	if path == "" {
+		return holder.ProbeAlive
+	}
+	return askHealth(c, a, path)
+}
+
+func askHealth(c net.Conn, a netip.AddrPort, path string) holder.ProbeResult {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	t := &http.Transport{
+		DialContext:       func(context.Context, string, string) (net.Conn, error) { return c, nil },
+		DisableKeepAlives: true,
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+path, nil)
+	if err != nil {
+		return holder.ProbeAlive
+	}
+	p, err := t.RoundTrip(q)
+	if err != nil {
+		return holder.ProbeAlive
+	}
+	_ = p.Body.Close()
+	if p.StatusCode == http.StatusOK {
+		return holder.ProbeReady
+	}
+	return holder.ProbeAlive
+}
--- /dev/null
+++ b/host/registry.go
@@ -0,0 +1,35 @@
+package host
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/segment"
+	"github.com/lentilshed/lentilshed/store"
+)
+
+// Registry is what lasts of the system, outside its processes. Cached lists are
+// cheap and may be seconds old.
+type Registry struct {
+	Config             func(context.Context) (*routing.Config, store.Revision, error)
+	WaitConfig         func(ctx context.Context, after store.Revision, wait time.Duration) (*routing.Config, store.Revision, bool, error)
+	Domains            func(context.Context) ([]string, store.Revision, error)
+	WaitDomains        func(ctx context.Context, after store.Revision, wait time.Duration) ([]string, store.Revision, bool, error)
+	Agents             func(ctx context.Context, cached bool) ([]director.Member, error)
+	Balancers          func(ctx context.Context, cached bool) ([]netip.AddrPort, error)
+	RegisterAgent      func(context.Context, director.Member) error
+	RegisterBalancer   func(ctx context.Context, name, domain string, a netip.AddrPort) error
+	UnregisterAgent    func(ctx context.Context, name string) error
+	UnregisterBalancer func(ctx context.Context, name string) error
+}
+
+// PacketForm reads and writes packets of flows.
+type PacketForm struct {
+	FromCaller  func([]byte) (segment.Segment, error)
+	FromTarget  func([]byte) (segment.Segment, error)
+	Restore     func([]byte)
+	AppendReset ResetWriter
+}
--- a/intent/store.go
+++ b/intent/store.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/failure"
-	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/store"
 	"google.golang.org/protobuf/encoding/protojson"
 )
 
@@ -35,17 +35,17 @@
 // Held is a document with the platform's version of it.
 type Held struct {
 	Document *Document
-	Version  platform.Version
+	Version  store.Version
 }
 
 // Store reads and changes the document of one region on the platform.
 type Store struct {
-	client *platform.Client
+	client *store.Client
 	region string
 }
 
 // NewStore returns a store for a region.
-func NewStore(c *platform.Client, region string) *Store {
+func NewStore(c *store.Client, region string) *Store {
 	return &Store{
 		client: c,
 		region: region,
@@ -55,7 +55,7 @@
 // Read returns the accepted document; an empty one when nothing was declared.
 func (s *Store) Read(ctx context.Context) (Held, error) {
 	o, err := s.client.Get(ctx, s.key())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return Held{
 			Document: NewDocument(s.region),
 		}, nil
@@ -67,7 +67,7 @@
 }
 
 // Watch waits for a document other than the held version.
-func (s *Store) Watch(ctx context.Context, after platform.Version, wait time.Duration) (Held, error) {
+func (s *Store) Watch(ctx context.Context, after store.Version, wait time.Duration) (Held, error) {
 	o, err := s.client.Watch(ctx, s.key(), after, wait)
 	if err != nil {
 		return Held{}, errors.Wrap(err, "watch intent")
@@ -116,10 +116,10 @@
 // settle finds out what became of a failed write. It reports done when the
 // write must not be repeated.
 func (s *Store) settle(ctx context.Context, base Held, id string, cause error) (Held, bool, error) {
-	if errors.Is(cause, platform.ErrThrottled) {
+	if errors.Is(cause, store.ErrThrottled) {
 		return Held{}, false, cause
 	}
-	if !errors.Is(cause, platform.ErrUnknownOutcome) && !errors.Is(cause, platform.ErrConflict) {
+	if !errors.Is(cause, store.ErrUnknownOutcome) && !errors.Is(cause, store.ErrConflict) {
 		return Held{}, true, cause
 	}
 	now, err := s.Read(ctx)
@@ -135,8 +135,8 @@
 	return Held{}, false, cause
 }
 
-func (s *Store) key() platform.Key {
-	return platform.Key{
+func (s *Store) key() store.Key {
+	return store.Key{
 		Kind: Kind,
 		Name: s.region,
 	}
@@ -148,7 +148,7 @@
 	return b, errors.Wrap(err, "encode intent")
 }
 
-func decode(o platform.Object) (Held, error) {
+func decode(o store.Object) (Held, error) {
 	m := &controlpb.Intent{}
 	if err := protojson.Unmarshal(o.Value, m); err != nil {
 		return Held{}, errors.Wrap(err, "decode intent")
--- a/intent/store_test.go
+++ b/intent/store_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/controlpb"
-	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"github.com/lentilshed/lentilshed/store"
 	"github.com/stretchr/testify/require"
 )
 
@@ -21,7 +21,7 @@
 	s := objectstore.New(1)
 	w := httptest.NewServer(s)
 	t.Cleanup(w.Close)
-	c := platform.New(platform.Config{
+	c := store.New(store.Config{
 		BaseURL: w.URL,
 		Timeout: 2 * time.Second,
 	})
--- a/measure/control.go
+++ b/measure/control.go
@@ -15,8 +15,8 @@
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/intent"
 	"github.com/lentilshed/lentilshed/lease"
-	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"github.com/lentilshed/lentilshed/store"
 	"github.com/lentilshed/lentilshed/telemetry"
 	"github.com/uber-go/tally/v4"
 )
@@ -156,7 +156,7 @@
 				Silence: balancer.LeaseSilence,
 			},
 		},
-		Platform: platform.New(platform.Config{
+		Platform: store.New(store.Config{
 			BaseURL: f.url,
 			Seed:    life,
 		}),
@@ -210,7 +210,7 @@
 // force everywhere.
 func (f *system) measureChanges(r *Control) error {
 	h := hdrhistogram.New(1, 60_000_000, 3)
-	s := intent.NewStore(platform.New(platform.Config{
+	s := intent.NewStore(store.New(store.Config{
 		BaseURL: f.url,
 	}), measureRegion)
 	idle := r.BytesPerSecondMean
--- a/measure/races.go
+++ b/measure/races.go
@@ -12,8 +12,8 @@
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/fleet"
 	"github.com/lentilshed/lentilshed/intent"
-	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"github.com/lentilshed/lentilshed/store"
 	"google.golang.org/protobuf/encoding/protojson"
 )
 
@@ -249,8 +249,8 @@
 	*n++
 }
 
-func (r *races) newClient(seed uint64) *platform.Client {
-	return platform.New(platform.Config{
+func (r *races) newClient(seed uint64) *store.Client {
+	return store.New(store.Config{
 		BaseURL: r.system.url,
 		Seed:    seed,
 	})
--- a/operator/session.go
+++ b/operator/session.go
@@ -14,8 +14,8 @@
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/fleet"
 	"github.com/lentilshed/lentilshed/intent"
-	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/query"
+	"github.com/lentilshed/lentilshed/store"
 )
 
 var (
@@ -38,7 +38,7 @@
 
 // Config says where a session works and for whom.
 type Config struct {
-	Client *platform.Client
+	Client *store.Client
 	Region string
 	Author string
 	Output Output
--- a/operator/session_test.go
+++ b/operator/session_test.go
@@ -14,8 +14,8 @@
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/fleet"
 	"github.com/lentilshed/lentilshed/intent"
-	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"github.com/lentilshed/lentilshed/store"
 	"github.com/stretchr/testify/require"
 )
 
@@ -35,7 +35,7 @@
 		dir: t.TempDir(),
 	}
 	d.session = New(Config{
-		Client: platform.New(platform.Config{BaseURL: w.URL}),
+		Client: store.New(store.Config{BaseURL: w.URL}),
 		Region: "bayern",
 		Author: "anna",
 		Output: o,
--- /dev/null
+++ b/placement/chooser.go
@@ -0,0 +1,101 @@
+package placement
+
+import "time"
+
+// Config weighs a choice.
+type Config struct {
+	// RemoteUse is the use of its slots above which a local target passes flows
+	// to other failure domains.
+	RemoteUse float64
+	// RemoteGain is how much lower the use of a target in another failure domain
+	// must be; it stands for the cost of bytes between domains.
+	RemoteGain float64
+	// HeardLimit is the silence after which a target is a last resort.
+	HeardLimit time.Duration
+	// ColdPenalty is added to the use of a cold target.
+	ColdPenalty float64
+}
+
+// DefaultConfig fits targets that slow down from three quarters of their slots
+// on, and domains where an answer from outside costs a few percent of its worth.
+func DefaultConfig() Config {
+	return Config{
+		RemoteUse:   0.7,
+		RemoteGain:  0.25,
+		HeardLimit:  1500 * time.Millisecond,
+		ColdPenalty: 0.3,
+	}
+}
+
+// minFlowLoad is the least load that a flow is taken to bring, in slots. It
+// spreads flows while nothing is known about their load.
+const minFlowLoad = 0.02
+
+// Choose returns the index of the member for a new flow, or false if there is
+// none. Members of the caller's failure domain come first while they have room;
+// silent members only when nobody else is left.
+//
+// It answers the daily load, where every domain serves itself; a domain whose
+// clients outgrow its targets; and the return of a target with empty slots.
+func (c Config) Choose(members []Member) (int, bool) {
+	perFlow := meanFlowLoad(members)
+	local, localUse := c.best(members, perFlow, true)
+	remote, remoteUse := c.best(members, perFlow, false)
+	switch {
+	case local < 0 && remote < 0:
+		return 0, false
+	case local < 0:
+		return remote, true
+	case remote < 0:
+		return local, true
+	case localUse >= silentUse && remoteUse < silentUse:
+		return remote, true
+	case localUse > c.RemoteUse && remoteUse+c.RemoteGain < localUse:
+		return remote, true
+	}
+	return local, true
+}
+
+// silentUse puts members that are not heard behind all others.
+const silentUse = 1000
+
+func (c Config) best(members []Member, perFlow float64, local bool) (int, float64) {
+	best := -1
+	least := 0.0
+	for i, m := range members {
+		if m.Local != local {
+			continue
+		}
+		u := c.weigh(m, perFlow)
+		if best < 0 || u < least {
+			best = i
+			least = u
+		}
+	}
+	return best, least
+}
+
+func (c Config) weigh(m Member, perFlow float64) float64 {
+	u := m.use(perFlow)
+	if m.Cold {
+		u += c.ColdPenalty
+	}
+	if m.Heard > c.HeardLimit {
+		u += silentUse
+	}
+	return u
+}
+
+// meanFlowLoad is the load that one flow brings, over all members.
+func meanFlowLoad(members []Member) float64 {
+	busy := 0.0
+	flows := 0.0
+	for _, m := range members {
+		busy += m.Busy
+		flows += float64(m.Flows)
+	}
+	if flows == 0 {
+		return minFlowLoad
+	}
+	return max(busy/flows, minFlowLoad)
+}
--- /dev/null
+++ b/relay/codec.go
@@ -0,0 +1,102 @@
+// Package relay is the form of datagrams between balancers and agents: a
+// caller's packet behind a short head, or a message of the control protocol.
+package relay
+
+import (
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/zeebo/xxh3"
+	"google.golang.org/protobuf/proto"
+)
+
+// ErrMalformed is returned for a datagram that no instance has sent.
+var ErrMalformed = errors.New("malformed datagram")
+
+// Kind says what a datagram carries.
+type Kind byte
+
+const (
+	// KindDeliver is a caller's packet for a target.
+	KindDeliver Kind = 0xd1
+	// KindReject is a caller's packet on its way back to the balancer.
+	KindReject Kind = 0xd2
+	// KindControl is a message without a packet.
+	KindControl Kind = 0xd3
+)
+
+// ServiceID names a service within a datagram.
+type ServiceID uint32
+
+// NewServiceID returns the id that every instance derives from a name.
+func NewServiceID(name string) ServiceID {
+	return ServiceID(xxh3.HashString(name))
+}
+
+// Deliver is the head of a packet for a target.
+type Deliver struct {
+	Service ServiceID
+	// Offer is set when the sender does not know where the flow lives.
+	Offer bool
+}
+
+const (
+	deliverHead = 6
+	rejectHead  = 2
+)
+
+// AppendDeliver appends a packet for a target to b.
+func AppendDeliver(b []byte, d Deliver, packet []byte) []byte {
+	flags := byte(0)
+	if d.Offer {
+		flags = 1
+	}
+	b = append(b, byte(KindDeliver), flags)
+	b = binary.LittleEndian.AppendUint32(b, uint32(d.Service))
+	return append(b, packet...)
+}
+
+// ParseDeliver returns the head and the packet, which aliases b.
+func ParseDeliver(b []byte) (Deliver, []byte, error) {
+	if len(b) < deliverHead || Kind(b[0]) != KindDeliver {
+		return Deliver{}, nil, ErrMalformed
+	}
+	return Deliver{
+		Service: ServiceID(binary.LittleEndian.Uint32(b[2:])),
+		Offer:   b[1] == 1,
+	}, b[deliverHead:], nil
+}
+
+// AppendReject appends a returned packet to b.
+func AppendReject(b []byte, reason uint8, packet []byte) []byte {
+	b = append(b, byte(KindReject), reason)
+	return append(b, packet...)
+}
+
+// ParseReject returns the reason and the packet, which aliases b.
+func ParseReject(b []byte) (uint8, []byte, error) {
+	if len(b) < rejectHead || Kind(b[0]) != KindReject {
+		return 0, nil, ErrMalformed
+	}
+	return b[1], b[rejectHead:], nil
+}
+
+// AppendControl appends a message to b.
+func AppendControl(b []byte, d *controlpb.Datagram) ([]byte, error) {
+	b = append(b, byte(KindControl))
+	b, err := proto.MarshalOptions{}.MarshalAppend(b, d)
+	return b, errors.Wrap(err, "encode control datagram")
+}
+
+// ParseControl returns the message of a datagram.
+func ParseControl(b []byte) (*controlpb.Datagram, error) {
+	if len(b) < 1 || Kind(b[0]) != KindControl {
+		return nil, ErrMalformed
+	}
+	d := &controlpb.Datagram{}
+	if err := proto.Unmarshal(b[1:], d); err != nil {
+		return nil, errors.CombineErrors(ErrMalformed, err)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/relay/flows.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/flow"
+)
+
+// EncodeFlow returns the message form of a flow and its caller's newest
+// acknowledgement.
+func EncodeFlow(t flow.Tuple, ack uint32) *controlpb.FlowTuple {
+	return &controlpb.FlowTuple{
+		Caller:      t.Caller,
+		CallerPort:  uint32(t.CallerPort),
+		Address:     t.Address,
+		AddressPort: uint32(t.AddressPort),
+		Ack:         ack,
+	}
+}
+
+// EncodeFlows returns the message form of flows.
+func EncodeFlows(l []flow.Tuple) []*controlpb.FlowTuple {
+	x := make([]*controlpb.FlowTuple, 0, len(l))
+	for _, t := range l {
+		x = append(x, EncodeFlow(t, 0))
+	}
+	return x
+}
+
+// DecodeFlow returns the flow that a message names.
+func DecodeFlow(x *controlpb.FlowTuple) flow.Tuple {
+	return flow.Tuple{
+		Caller:      x.GetCaller(),
+		CallerPort:  uint16(x.GetCallerPort()),
+		Address:     x.GetAddress(),
+		AddressPort: uint16(x.GetAddressPort()),
+	}
+}
+
+// DecodeFlows returns the flows that a message names.
+func DecodeFlows(l []*controlpb.FlowTuple) []flow.Tuple {
+	x := make([]flow.Tuple, 0, len(l))
+	for _, t := range l {
+		x = append(x, DecodeFlow(t))
+	}
+	return x
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,10 +20,12 @@
 // line with the file, the key and the reason.
 var ErrInvalid = errors.New("invalid settings")
 
-// File is the settings of one process: a balancer or an agent.
+// File is the settings of one process: a balancer or an agent of flows that end
+// here, or either of flows that backend servers end themselves.
 type File struct {
 	Balancer *Balancer `toml:"balancer"`
 	Agent    *Agent    `toml:"agent"`
+	Passing  *Passing  `toml:"passing"`
 	Log      Log       `toml:"log"`
 	Trace    Trace     `toml:"trace"`
 }
@@ -147,6 +149,10 @@
 
 func (c *checker) checkFile(f *File) {
 	switch {
+	case f.Passing != nil && (f.Balancer != nil || f.Agent != nil):
+		c.fail("passing", "stands beside no other role")
+	case f.Passing != nil:
+		c.checkPassing(f.Passing)
 	case f.Balancer == nil && f.Agent == nil:
 		c.fail("file", "needs a [balancer] or an [agent] section")
 	case f.Balancer != nil && f.Agent != nil:
--- a/platform/client.go
+++ b/store/client.go
@@ -1,12 +1,10 @@
-// Package platform talks to the platform's object API: HTTP and JSON with
+// Package store talks to the platform's object API: HTTP and JSON with
 // versions as ETags, conditional writes and long-poll watches.
-package platform
+package store
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -70,23 +68,26 @@
 
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
-	config Config
-	http   *http.Client
-	budget *retryBudget
+	config    Config
+	transport *Transport
+	budget    *retryBudget
 }
 
 // New returns a client.
 func New(c Config) *Client {
 	h := c.HTTP
 	if h == nil {
-		h = &http.Client{}
+		h = NewHTTPClient()
 	}
 	if c.Timeout <= 0 {
 		c.Timeout = defaultTimeout
 	}
 	return &Client{
 		config: c,
-		http:   h,
+		transport: &Transport{
+			HTTP:  h,
+			Count: c.Count,
+		},
 		budget: newRetryBudget(c.Seed),
 	}
 }
@@ -217,38 +218,17 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, value []byte, h http.Header) (answer, error) {
-	q, err := http.NewRequestWithContext(ctx, method, path, bytes.NewReader(value))
+	a, err := c.transport.Call(ctx, method, path, value, h)
 	if err != nil {
-		return answer{}, errors.Wrap(err, method)
+		return answer{}, err
 	}
-	for k, v := range h {
-		q.Header[k] = v
-	}
-	p, err := c.http.Do(q)
-	if err != nil {
-		c.count(method, "failed")
-		return answer{}, errors.Wrap(err, method)
-	}
-	defer func() { _ = p.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(p.Body, 8*MaxValue))
-	if err != nil {
-		c.count(method, "failed")
-		return answer{}, errors.Wrap(err, method)
-	}
-	c.count(method, strconv.Itoa(p.StatusCode))
 	return answer{
-		status:  p.StatusCode,
-		version: parseETag(p.Header.Get("ETag")),
-		body:    b,
+		status:  a.Status,
+		version: parseETag(a.Header.Get("ETag")),
+		body:    a.Body,
 	}, nil
 }
 
-func (c *Client) count(method, outcome string) {
-	if c.config.Count != nil {
-		c.config.Count(method, outcome)
-	}
-}
-
 func (c *Client) path(k Key) string {
 	p := strings.TrimSuffix(c.config.BaseURL, "/") + "/v1/objects/" + url.PathEscape(k.Kind)
 	if k.Name != "" {
--- a/platform/client_test.go
+++ b/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"net/http/httptest"
@@ -6,24 +6,24 @@
 	"testing"
 	"time"
 
-	"github.com/lentilshed/lentilshed/platform"
 	"github.com/lentilshed/lentilshed/standin/objectstore"
+	"github.com/lentilshed/lentilshed/store"
 	"github.com/stretchr/testify/require"
 )
 
-var key = platform.Key{
+var key = store.Key{
 	Kind: "intent",
 	Name: "bayern",
 }
 
 // newClient returns a client, its platform, and the number of attempts so far.
-func newClient(t *testing.T) (*platform.Client, *objectstore.Server, *atomic.Int64) {
+func newClient(t *testing.T) (*store.Client, *objectstore.Server, *atomic.Int64) {
 	t.Helper()
 	s := objectstore.New(1)
 	w := httptest.NewServer(s)
 	t.Cleanup(w.Close)
 	n := &atomic.Int64{}
-	return platform.New(platform.Config{
+	return store.New(store.Config{
 		BaseURL: w.URL,
 		Timeout: 500 * time.Millisecond,
 		Count:   func(string, string) { n.Add(1) },
@@ -33,11 +33,11 @@
 func TestConditionalWrites(t *testing.T) {
 	c, _, _ := newClient(t)
 	_, err := c.Get(t.Context(), key)
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, store.ErrNotFound)
 	v, err := c.Put(t.Context(), key, []byte(`{"a":1}`), 0)
 	require.NoError(t, err)
 	_, err = c.Put(t.Context(), key, []byte(`{"a":2}`), 0)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, store.ErrConflict)
 	w, err := c.Put(t.Context(), key, []byte(`{"a":3}`), v)
 	require.NoError(t, err)
 	require.Greater(t, w, v)
@@ -45,14 +45,14 @@
 	require.NoError(t, err)
 	require.Len(t, l, 1)
 	require.JSONEq(t, `{"a":3}`, string(l[0].Value))
-	require.ErrorIs(t, c.Delete(t.Context(), key, v), platform.ErrConflict)
+	require.ErrorIs(t, c.Delete(t.Context(), key, v), store.ErrConflict)
 	require.NoError(t, c.Delete(t.Context(), key, w))
 }
 
 func TestLargeValueIsRefused(t *testing.T) {
 	c, _, n := newClient(t)
-	_, err := c.Put(t.Context(), key, make([]byte, platform.MaxValue+1), 0)
-	require.ErrorIs(t, err, platform.ErrTooLarge)
+	_, err := c.Put(t.Context(), key, make([]byte, store.MaxValue+1), 0)
+	require.ErrorIs(t, err, store.ErrTooLarge)
 	require.Zero(t, n.Load(), "nothing was sent")
 }
 
@@ -64,7 +64,7 @@
 		LostAnswers: 1,
 	})
 	_, err := c.Put(t.Context(), key, []byte(`{}`), 0)
-	require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	require.ErrorIs(t, err, store.ErrUnknownOutcome)
 	require.Equal(t, int64(1), n.Load())
 	_, err = c.Get(t.Context(), key)
 	require.NoError(t, err)
@@ -79,7 +79,7 @@
 	})
 	for range reads {
 		_, err := c.Get(t.Context(), key)
-		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.ErrorIs(t, err, store.ErrUnavailable)
 	}
 	require.LessOrEqual(t, n.Load(), int64(1.3*reads))
 }
@@ -88,7 +88,7 @@
 	c, _, _ := newClient(t)
 	v, err := c.Put(t.Context(), key, []byte(`1`), 0)
 	require.NoError(t, err)
-	got := make(chan platform.Object, 1)
+	got := make(chan store.Object, 1)
 	go func() {
 		o, err := c.Watch(t.Context(), key, v, 5*time.Second)
 		if err == nil {
--- a/platform/retry_budget.go
+++ b/store/retry_budget.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
