Leave out agents without a backend server from searches

Change: such an agent says that nothing lives there, and registers only once its backend server is heard.

--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -102,11 +102,7 @@
 // flows of the backend server may be missing there, it is handed over: the
 // backend server returns what it does not hold.
 func (m *Model) unknown(now time.Time, x DeliverMsg) {
-	if m.server.gone || (m.Exact(now) && !x.Offer) {
-		m.reject(x, RejectNotHeld)
-		return
-	}
-	if m.Exact(now) {
+	if m.nobody() || m.Exact(now) {
 		m.reject(x, RejectNotHeld)
 		return
 	}
--- a/holder/model.go
+++ b/holder/model.go
@@ -240,7 +240,7 @@
 		switch {
 		case e != nil && e.holds(p.Ack):
 			a.Held = append(a.Held, p.Tuple)
-		case e != nil && e.state == entryOffered, e == nil && !m.Exact(now) && !m.server.gone:
+		case !m.nobody() && (e != nil && e.state == entryOffered || e == nil && !m.Exact(now)):
 			a.Unsure = append(a.Unsure, p.Tuple)
 		default:
 			a.Unheld = append(a.Unheld, p.Tuple)
@@ -249,6 +249,11 @@
 	m.emit(a)
 }
 
+// nobody reports whether there is no backend server that could hold a flow.
+func (m *Model) nobody() bool {
+	return m.server.gone || m.server.absent && !m.Seen()
+}
+
 // holds reports whether the backend server holds the flow whose caller has
 // acknowledged ack.
 func (e *entry) holds(ack uint32) bool {
--- a/holder/server.go
+++ b/holder/server.go
@@ -33,6 +33,9 @@
 	probedAt time.Time
 	// silent is set while it answers neither packets nor probes.
 	silent bool
+	// absent is set when it has not been heard at all since this agent started,
+	// and a probe found nobody: no flow lives there.
+	absent bool
 }
 
 const (
@@ -42,6 +45,9 @@
 	staleBornLimit = 3 * time.Second
 	// startProbePeriod is the time between probes until the first good answer.
 	startProbePeriod = 150 * time.Millisecond
+	// startProbeTime is the time after which those probes become rare.
+	startProbeTime  = 4 * time.Second
+	slowProbePeriod = time.Second
 	// silenceLimit is the time without any packet from a backend server with
 	// requests in work after which it is probed. A request takes tens of
 	// milliseconds.
@@ -135,6 +141,7 @@
 		s.silent = false
 	case ProbeSilent:
 		s.silent = now.Sub(s.sentAt) > silenceLimit
+		s.absent = !m.Seen()
 	}
 	m.reportChange(was)
 }
@@ -144,7 +151,7 @@
 	s := &m.server
 	switch {
 	case !s.known && !s.ready:
-		m.probe(now, startProbePeriod, true)
+		m.probe(now, m.startProbePause(now), true)
 	case m.load.waiting() && now.Sub(s.sentAt) > silenceLimit && now.Sub(m.load.since) > silenceLimit:
 		m.probe(now, silenceProbePeriod, false)
 	case s.known && now.Sub(s.beatAt) > beatLimit:
@@ -152,6 +159,22 @@
 	}
 }
 
+// startProbePause is short at first; an instance may also run without a backend
+// server for long.
+func (m *Model) startProbePause(now time.Time) time.Duration {
+	if now.Sub(m.started) < startProbeTime {
+		return startProbePeriod
+	}
+	return slowProbePeriod
+}
+
+// Seen reports whether the backend server has been heard since this agent
+// started, in any way.
+func (m *Model) Seen() bool {
+	s := &m.server
+	return s.ready || !s.beatAt.IsZero() || !s.sentAt.IsZero()
+}
+
 func (m *Model) probe(now time.Time, period time.Duration, health bool) {
 	if now.Sub(m.server.probedAt) < period {
 		return
--- a/host/agent.go
+++ b/host/agent.go
@@ -44,6 +44,9 @@
 	// registered is set once this agent is in the registry, or has tried for
 	// long enough.
 	registered atomic.Bool
+	// alive is closed once the backend server has been heard.
+	alive      chan struct{}
+	seen       sync.Once
 	healthPath atomic.Pointer[string]
 	reportAt   time.Time
 	cancel     context.CancelFunc
@@ -84,6 +87,7 @@
 			Incarnation: uint64(now.UnixMicro()),
 		},
 		balancers: map[netip.AddrPort]time.Time{},
+		alive:     make(chan struct{}),
 		service:   relay.NewServiceID(c.Backend.Service),
 		cancel:    cancel,
 	}
@@ -217,6 +221,9 @@
 
 // report tells all balancers about this target. The lock is held.
 func (a *Agent) report(now time.Time) {
+	if a.model.Seen() {
+		a.seen.Do(func() { close(a.alive) })
+	}
 	if !a.registered.Load() {
 		return
 	}
--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -4,20 +4,30 @@
 	"context"
 	"time"
 
+	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/holder"
 )
 
-// register makes this agent known before it takes flows. Without the registry
-// it serves after a while all the same: balancers hear its reports.
+// register makes this agent known once its backend server is there, and before
+// it takes flows. Without the registry it serves after a while all the same:
+// balancers hear its reports.
 func (a *Agent) register(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-a.alive:
+	}
 	started := time.Now()
+	self := a.member()
 	for ctx.Err() == nil {
 		c, cancel := context.WithTimeout(ctx, callTimeout)
-		err := a.config.Registry.RegisterAgent(c, a.self)
+		err := a.config.Registry.RegisterAgent(c, self)
 		cancel()
 		if err == nil {
 			a.registered.Store(true)
-			a.update(holder.TickMsg{})
+			a.mu.Lock()
+			a.report(time.Now())
+			a.mu.Unlock()
 			return
 		}
 		a.failed("register agent", err)
@@ -28,6 +38,12 @@
 	}
 }
 
+func (a *Agent) member() director.Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.self
+}
+
 // followBalancers reads which balancers are there, at the start and now and
 // then.
 func (a *Agent) followBalancers(ctx context.Context) {
--- a/host/probe.go
+++ b/host/probe.go
@@ -12,8 +12,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// probeTimeout bounds one probe of a backend server on the same instance.
-const probeTimeout = 400 * time.Millisecond
+const (
+	// probeTimeout bounds the connection to a backend server on the same
+	// instance, which takes less than a millisecond.
+	probeTimeout = 200 * time.Millisecond
+	// healthTimeout bounds its answer; it may be busy.
+	healthTimeout = 500 * time.Millisecond
+)
 
 // probe opens a connection to a backend server. With a path it also asks for
 // its health.
@@ -36,7 +41,7 @@
 }
 
 func askHealth(c net.Conn, a netip.AddrPort, path string) holder.ProbeResult {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
 	defer cancel()
 	t := &http.Transport{
 		DialContext:       func(context.Context, string, string) (net.Conn, error) { return c, nil },
