Know at the start of an agent whether its backend server is new; let searches back off

Cause: after power loss every agent was unsure about every flow, so each search handed packets to all backend servers of the site, repeated every 60 ms; links of 10 Mbit/s filled and the site took 14 s to serve again. Change: the record of an agent names the life of its backend server; another life after a restart means that no flow is missing. Unsure agents get a packet only when all others have said no. Searches widen in three steps and back off. Ruled out: overload of the targets; busy slots fell once searches stopped.

--- a/director/lookup.go
+++ b/director/lookup.go
@@ -15,27 +15,45 @@
 	held    [][]byte
 	// replies has every agent that was asked.
 	replies map[*member]reply
-	// everywhere is set once all agents are asked, not only those of the
-	// caller's failure domain.
-	everywhere bool
-	started    time.Time
-	asked      time.Time
+	reach   reach
+	started time.Time
+	// asked is the latest time of asking, and retry the time until the next.
+	asked time.Time
+	retry time.Duration
 }
 
+// reach is how far a search has come.
+type reach uint8
+
+const (
+	// reachNear asks the agents of the route's services in the caller's failure
+	// domain.
+	reachNear reach = iota
+	// reachRoute asks the agents of the route's services everywhere.
+	reachRoute
+	// reachAll asks all agents: an earlier configuration may have named other
+	// services.
+	reachAll
+)
+
 // reply is what an agent has said about a flow.
 type reply uint8
 
 const (
 	replyNone reply = iota
-	// replyUnsure is an agent that was offered a packet and has not returned it.
+	// replyUnsure is an agent that does not know all flows of its backend server.
 	replyUnsure
+	// replyOffered is such an agent that was handed a packet and has not returned
+	// it.
+	replyOffered
 	// replyUnheld is an agent whose backend server does not hold the flow.
 	replyUnheld
 )
 
 const (
 	// lookupRetry is the time after which a question is repeated: several round
-	// trips between failure domains.
+	// trips between failure domains. It doubles, so that searches for the flows
+	// of a whole region do not fill thin links.
 	lookupRetry = 60 * time.Millisecond
 	// lookupTimeout gives a search up; the caller's next packet starts another.
 	lookupTimeout = 1200 * time.Millisecond
@@ -59,6 +77,7 @@
 			replies: map[*member]reply{},
 			started: now,
 			asked:   now,
+			retry:   lookupRetry,
 		}
 		m.lookups[s.Tuple] = l
 		m.stats.Lookups++
@@ -68,32 +87,28 @@
 		l.held = append(l.held, append([]byte(nil), data...))
 	}
 	if len(l.replies) == 0 {
-		m.askNear(r, l)
+		m.widen(r, l)
 	}
 	m.conclude(now, l)
 }
 
-// askNear asks the agents of the route's services in this failure domain, where
-// most flows of its callers live.
-func (m *Model) askNear(r routing.Route, l *lookup) {
-	for _, s := range r.Shares {
-		for _, x := range m.services[s.Service] {
-			if x.Domain == m.config.Domain {
-				m.ask(x, l)
-			}
+// widen asks the agents within the reach of a search that were not asked yet.
+func (m *Model) widen(r routing.Route, l *lookup) {
+	for _, x := range m.members {
+		if _, ok := l.replies[x]; !ok && m.within(r, l.reach, x) {
+			m.ask(x, l)
 		}
 	}
 }
 
-// askEverywhere asks all other agents, also those of services that the route
-// does not name: an earlier configuration may have named them.
-func (m *Model) askEverywhere(l *lookup) {
-	l.everywhere = true
-	for _, x := range m.members {
-		if _, ok := l.replies[x]; !ok {
-			m.ask(x, l)
-		}
+func (m *Model) within(r routing.Route, reach reach, x *member) bool {
+	switch reach {
+	case reachNear:
+		return x.Domain == m.config.Domain && r.Includes(x.Service)
+	case reachRoute:
+		return r.Includes(x.Service)
 	}
+	return true
 }
 
 func (m *Model) ask(x *member, l *lookup) {
@@ -142,7 +157,11 @@
 		}
 	}
 	for _, t := range x.Unsure {
-		m.offer(t, from)
+		l := m.lookups[t]
+		if l != nil && l.replies[from] == replyNone {
+			l.replies[from] = replyUnsure
+			m.conclude(now, l)
+		}
 	}
 }
 
@@ -161,7 +180,7 @@
 	}
 	delete(m.lookups, t)
 	m.stats.Found++
-	if l.replies[x] == replyUnsure {
+	if l.replies[x] == replyOffered {
 		l.held = l.held[1:]
 	}
 	for _, b := range l.held {
@@ -169,16 +188,16 @@
 	}
 }
 
-// offer hands a packet of a flow to an agent that does not know all flows of its
-// backend server yet.
-func (m *Model) offer(t flow.Tuple, x *member) {
-	l := m.lookups[t]
-	if l == nil || l.replies[x] == replyUnsure {
-		return
+// offer hands a packet to the agents that do not know all flows of their backend
+// servers, once nobody else can hold the flow.
+func (m *Model) offer(l *lookup) {
+	for x, r := range l.replies {
+		if r == replyUnsure {
+			l.replies[x] = replyOffered
+			m.stats.Offers++
+			m.send(x, l.held[0], true)
+		}
 	}
-	l.replies[x] = replyUnsure
-	m.stats.Offers++
-	m.send(x, l.held[0], true)
 }
 
 // notHeld takes a packet back from an agent whose backend server does not hold
@@ -200,36 +219,40 @@
 	}
 }
 
-// conclude moves a search on once all that were asked have said no. A flow is
+// conclude moves a search on once all that were asked have answered. A flow is
 // reset only when no agent of a list that was read after its packet holds it.
 func (m *Model) conclude(now time.Time, l *lookup) {
-	for _, r := range l.replies {
-		if r != replyUnheld {
+	for {
+		if l.count(replyNone) > 0 {
 			return
 		}
-	}
-	switch {
-	case !l.everywhere:
-		m.askEverywhere(l)
-		if len(m.members) == 0 || m.allUnheld(l) {
-			m.conclude(now, l)
+		if l.count(replyUnsure)+l.count(replyOffered) > 0 {
+			m.offer(l)
+			return
 		}
-	case m.listedAt.Before(l.started):
+		if l.reach == reachAll {
+			break
+		}
+		l.reach++
+		m.widen(m.declared.Routes[routing.Of(l.segment.Tuple)], l)
+	}
+	if m.listedAt.Before(l.started) {
 		m.wantList(now)
-	default:
-		delete(m.lookups, l.segment.Tuple)
-		m.stats.Unheld++
-		m.reset(l.segment, CauseNotHeld)
+		return
 	}
+	delete(m.lookups, l.segment.Tuple)
+	m.stats.Unheld++
+	m.reset(l.segment, CauseNotHeld)
 }
 
-func (m *Model) allUnheld(l *lookup) bool {
+func (l *lookup) count(x reply) int {
+	n := 0
 	for _, r := range l.replies {
-		if r != replyUnheld {
-			return false
+		if r == x {
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 // wantList asks for a fresh list of agents, at most every listPause.
@@ -250,8 +273,9 @@
 			delete(m.lookups, t)
 			m.stats.LookupsTimedOut++
 			m.noteTimeout(l)
-		case now.Sub(l.asked) > lookupRetry:
+		case now.Sub(l.asked) > l.retry:
 			l.asked = now
+			l.retry *= 2
 			m.repeat(now, l)
 		}
 	}
@@ -262,6 +286,10 @@
 		switch {
 		case m.members[x.Name] != x:
 			delete(l.replies, x)
+		case r == replyOffered:
+			// Asked again, the agent answers, or the packet is handed over again.
+			l.replies[x] = replyNone
+			m.ask(x, l)
 		case r != replyUnheld:
 			m.ask(x, l)
 		}
--- a/director/roster.go
+++ b/director/roster.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/lentilshed/lentilshed/routing"
 )
 
 // report takes what an agent says of itself.
@@ -86,9 +88,7 @@
 	}
 	m.sweepMembers(now)
 	for _, l := range m.lookups {
-		if l.everywhere {
-			m.askEverywhere(l)
-		}
+		m.widen(m.declared.Routes[routing.Of(l.segment.Tuple)], l)
 		m.conclude(now, l)
 	}
 }
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -48,7 +48,7 @@
 	switch {
 	case m.stopping || m.server.draining:
 		return RejectDraining
-	case !m.server.ready:
+	case !m.server.ready || !m.server.mayOpen():
 		return RejectDown
 	case m.declared.MaxFlows > 0 && len(m.flows) >= m.declared.MaxFlows:
 		return RejectFull
--- a/holder/effect.go
+++ b/holder/effect.go
@@ -84,6 +84,11 @@
 	Unsure []flow.Tuple
 }
 
+// RecordEffect records a life of the backend server before it takes flows.
+type RecordEffect struct {
+	Born uint64
+}
+
 // ReportEffect sends this agent's report to all balancers now.
 type ReportEffect struct{}
 
--- a/holder/model.go
+++ b/holder/model.go
@@ -92,6 +92,10 @@
 		m.probed(now, x)
 	case ConfigMsg:
 		m.declared = x
+	case RecordMsg:
+		m.record(x)
+	case RecordedMsg:
+		m.recorded(x)
 	case WokenMsg:
 		m.woken(now)
 	case StopMsg:
@@ -110,6 +114,11 @@
 	return m.server.fresh || now.Sub(m.started) > m.declared.IdleTimeout+idleSlack
 }
 
+// settleTime is the time after the start in which an agent leaves questions
+// unanswered that it may soon answer for certain: a backend server that starts
+// with it announces itself at once.
+const settleTime = 250 * time.Millisecond
+
 // idleSlack is added to the idle timeout before unseen flows are ruled out.
 const idleSlack = time.Second
 
@@ -241,7 +250,9 @@
 		case e != nil && e.holds(p.Ack):
 			a.Held = append(a.Held, p.Tuple)
 		case !m.nobody() && (e != nil && e.state == entryOffered || e == nil && !m.Exact(now)):
-			a.Unsure = append(a.Unsure, p.Tuple)
+			if now.Sub(m.started) > settleTime {
+				a.Unsure = append(a.Unsure, p.Tuple)
+			}
 		default:
 			a.Unheld = append(a.Unheld, p.Tuple)
 		}
--- a/holder/msg.go
+++ b/holder/msg.go
@@ -87,6 +87,18 @@
 	IdleTimeout time.Duration
 }
 
+// RecordMsg is the life of the backend server that an earlier agent process had
+// recorded before it gave any flow to it; zero if there is no record.
+type RecordMsg struct {
+	Born uint64
+}
+
+// RecordedMsg says that a life of the backend server is recorded now, so that
+// it may take flows.
+type RecordedMsg struct {
+	Born uint64
+}
+
 // WokenMsg says that the process stood still for a while.
 type WokenMsg struct{}
 
--- a/holder/report.go
+++ b/holder/report.go
@@ -48,12 +48,18 @@
 	switch {
 	case m.stopping || m.server.draining:
 		return AvailabilityDraining
-	case m.server.ready && !m.server.silent:
+	case m.server.ready && !m.server.silent && m.server.mayOpen():
 		return AvailabilityOpen
 	}
 	return AvailabilityDown
 }
 
+// mayOpen reports whether the present life is recorded, or has only been seen
+// by a probe yet.
+func (s *server) mayOpen() bool {
+	return !s.known || s.recorded == s.born
+}
+
 // Ended reports whether the backend server has said farewell or is gone.
 func (m *Model) Ended() bool {
 	return m.server.gone || m.server.left
--- a/holder/server.go
+++ b/holder/server.go
@@ -21,9 +21,14 @@
 	left bool
 	// gone is set when its process is known to have ended.
 	gone bool
-	// fresh is set when this agent has been there for its whole life.
-	fresh     bool
-	coldUntil time.Time
+	// fresh is set when no earlier agent process gave flows to this life.
+	fresh bool
+	// earlier is the life that an earlier agent process had recorded, once
+	// earlierKnown is set; recorded is the life that is recorded now.
+	earlier      uint64
+	earlierKnown bool
+	recorded     uint64
+	coldUntil    time.Time
 	// bornAt is when this agent began to wait for the backend server.
 	bornAt time.Time
 	// beatAt is the latest heartbeat, sentAt the latest packet, and probedAt the
@@ -86,6 +91,34 @@
 	s.silent = false
 	s.beatAt = now
 	s.coldUntil = now.Add(x.Cold)
+	m.compareLives()
+	m.reportChange(was)
+}
+
+// record takes what an earlier agent process had recorded.
+func (m *Model) record(x RecordMsg) {
+	s := &m.server
+	if s.earlierKnown {
+		return
+	}
+	s.earlier = x.Born
+	s.earlierKnown = true
+	m.compareLives()
+}
+
+// compareLives concludes that no flow is missing here when the backend server
+// has started since an earlier agent process recorded it.
+func (m *Model) compareLives() {
+	s := &m.server
+	if s.known && s.earlierKnown && s.earlier != s.born {
+		s.fresh = true
+	}
+}
+
+// recorded opens the gate for a life that is recorded.
+func (m *Model) recorded(x RecordedMsg) {
+	was := m.availability()
+	m.server.recorded = x.Born
 	m.reportChange(was)
 }
 
@@ -96,6 +129,9 @@
 		m.resetAll(CauseTargetReplaced)
 		s.fresh = true
 	}
+	m.emit(RecordEffect{
+		Born: x.Born,
+	})
 	m.emit(NoteEffect{
 		Event: "backend server " + string(x.ID) + " announced itself",
 		Count: len(m.flows),
--- a/host/agent.go
+++ b/host/agent.go
@@ -44,9 +44,10 @@
 	// registered is set once this agent is in the registry, or has tried for
 	// long enough.
 	registered atomic.Bool
-	// alive is closed once the backend server has been heard.
-	alive      chan struct{}
-	seen       sync.Once
+	// lives has the lives of the backend server that are to be recorded; lifeAt
+	// is when the latest was taken from there.
+	lives      chan uint64
+	lifeAt     time.Time
 	healthPath atomic.Pointer[string]
 	reportAt   time.Time
 	cancel     context.CancelFunc
@@ -60,6 +61,8 @@
 	balancerLifetime = 20 * time.Second
 	// maxBalancers bounds the balancers that get reports.
 	maxBalancers = 64
+	// maxLives bounds the lives that wait to be recorded.
+	maxLives = 16
 	// registerPatience is the time after which an agent serves without a record:
 	// the registry may be away for long.
 	registerPatience = 1500 * time.Millisecond
@@ -87,7 +90,7 @@
 			Incarnation: uint64(now.UnixMicro()),
 		},
 		balancers: map[netip.AddrPort]time.Time{},
-		alive:     make(chan struct{}),
+		lives:     make(chan uint64, maxLives),
 		service:   relay.NewServiceID(c.Backend.Service),
 		cancel:    cancel,
 	}
@@ -221,10 +224,7 @@
 
 // report tells all balancers about this target. The lock is held.
 func (a *Agent) report(now time.Time) {
-	if a.model.Seen() {
-		a.seen.Do(func() { close(a.alive) })
-	}
-	if !a.registered.Load() {
+	if !a.model.Seen() {
 		return
 	}
 	a.reportAt = now
--- a/host/agent_peer.go
+++ b/host/agent_peer.go
@@ -87,6 +87,12 @@
 		a.answer(x)
 	case holder.ReportEffect:
 		a.report(now)
+	case holder.RecordEffect:
+		select {
+		case a.lives <- x.Born:
+		default:
+			a.failed("backend server starts too often to be recorded", nil)
+		}
 	case holder.ProbeEffect:
 		a.probe(x.Health)
 	case holder.NoteEffect:
--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -8,36 +8,84 @@
 	"github.com/lentilshed/lentilshed/holder"
 )
 
-// register makes this agent known once its backend server is there, and before
-// it takes flows. Without the registry it serves after a while all the same:
-// balancers hear its reports.
+// register records each life of the backend server before it takes flows.
+// Without the registry it serves after a while all the same: balancers hear its
+// reports.
 func (a *Agent) register(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-a.alive:
+	a.readRecord(ctx)
+	born, ok := a.nextLife(ctx, 0)
+	for ok {
+		if a.recordLife(ctx, born) {
+			born, ok = a.nextLife(ctx, born)
+			continue
+		}
+		born = a.latestLife(born)
+		ok = ctx.Err() == nil
 	}
-	started := time.Now()
-	self := a.member()
-	for ctx.Err() == nil {
+}
+
+// readRecord reads what an earlier process had recorded, until it is known or
+// this process has recorded something itself.
+func (a *Agent) readRecord(ctx context.Context) {
+	for ctx.Err() == nil && len(a.lives) == 0 {
 		c, cancel := context.WithTimeout(ctx, callTimeout)
-		err := a.config.Registry.RegisterAgent(c, self)
+		born, err := a.config.Registry.RecordedLife(c, a.config.Name)
 		cancel()
 		if err == nil {
-			a.registered.Store(true)
-			a.mu.Lock()
-			a.report(time.Now())
-			a.mu.Unlock()
+			a.update(holder.RecordMsg{
+				Born: born,
+			})
 			return
 		}
-		a.failed("register agent", err)
-		if time.Since(started) > registerPatience {
-			a.registered.Store(true)
-		}
+		a.failed("read own record", err)
 		pause(ctx, callPause)
 	}
 }
 
+// nextLife waits for a life of the backend server other than the last.
+func (a *Agent) nextLife(ctx context.Context, last uint64) (uint64, bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return 0, false
+		case born := <-a.lives:
+			if born != last {
+				a.lifeAt = time.Now()
+				return born, true
+			}
+		}
+	}
+}
+
+func (a *Agent) latestLife(born uint64) uint64 {
+	select {
+	case x := <-a.lives:
+		a.lifeAt = time.Now()
+		return x
+	default:
+		return born
+	}
+}
+
+// recordLife tries once and reports whether the record was written.
+func (a *Agent) recordLife(ctx context.Context, born uint64) bool {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	err := a.config.Registry.RegisterAgent(c, a.member(), born)
+	cancel()
+	if err == nil || time.Since(a.lifeAt) > registerPatience {
+		a.registered.Store(true)
+		a.update(holder.RecordedMsg{
+			Born: born,
+		})
+	}
+	if err == nil {
+		return true
+	}
+	a.failed("record backend server", err)
+	pause(ctx, callPause)
+	return false
+}
+
 func (a *Agent) member() director.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
