Let balancers confirm the declared state to each other

Change: package freshness. Three balancers watch; one that has heard no 'nothing newer' for most of a second looks, and its digest confirms the others; newer state is fetched from the peer that has it, also while the store turns this one away. Agents read lists and what is declared from the store's cache.

--- a/cmd/lentilshed/passing.go
+++ b/cmd/lentilshed/passing.go
@@ -132,6 +132,7 @@
 		Domain:    s.Domain,
 		Packets:   netip.MustParseAddrPort(s.Packets),
 		Peer:      netip.MustParseAddrPort(s.Peer),
+		Peers:     seedPeers(s),
 		Grace:     time.Duration(s.StopTimeout),
 		Placement: c,
 		Form:      packetForm,
@@ -145,6 +146,17 @@
 	return p.listen(platform.NewBalancerHandler(b), s.Ready, s.Calls)
 }
 
+// seedPeers returns the peer addresses of instances where balancers may run:
+// the port is the same on all of them.
+func seedPeers(s *settings.Passing) []netip.AddrPort {
+	var l []netip.AddrPort
+	port := netip.MustParseAddrPort(s.Peer).Port()
+	for _, x := range s.Seeds {
+		l = append(l, netip.AddrPortFrom(netip.MustParseAddrPort(x).Addr(), port))
+	}
+	return l
+}
+
 func (p *passing) startAgent() error {
 	s := p.settings
 	backend := host.Backend{
@@ -152,14 +164,15 @@
 		Address: netip.MustParseAddrPort(s.Backend),
 	}
 	a, err := host.NewAgent(host.AgentConfig{
-		Name:     s.Name,
-		Domain:   s.Domain,
-		Peer:     netip.MustParseAddrPort(s.Packets),
-		Outbound: netip.MustParseAddrPort(s.Outbound),
-		Backend:  backend,
-		Form:     packetForm,
-		Registry: p.registry,
-		Note:     p.note,
+		Name:      s.Name,
+		Domain:    s.Domain,
+		Peer:      netip.MustParseAddrPort(s.Packets),
+		Outbound:  netip.MustParseAddrPort(s.Outbound),
+		Backend:   backend,
+		Balancers: seedPeers(s),
+		Form:      packetForm,
+		Registry:  p.registry,
+		Note:      p.note,
 	})
 	if err != nil {
 		return errors.Wrap(err, "start agent")
--- a/director/model.go
+++ b/director/model.go
@@ -5,7 +5,9 @@
 package director
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/lentilshed/lentilshed/flow"
@@ -124,6 +126,16 @@
 	return m.declared.Version
 }
 
+// Declared returns the configuration in force, nil for none.
+func (m *Model) Declared() *routing.Config {
+	return m.declared
+}
+
+// Out returns the failure domains that are taken out, in order.
+func (m *Model) Out() []string {
+	return slices.Sorted(maps.Keys(m.out))
+}
+
 // DomainsRevision returns the revision of the list of domains taken out.
 func (m *Model) DomainsRevision() uint64 {
 	return m.outsRev
--- a/host/agent.go
+++ b/host/agent.go
@@ -57,6 +57,9 @@
 const (
 	// reportPeriod is the time between two reports without news.
 	reportPeriod = 500 * time.Millisecond
+	// balancersPeriod is the time between two lists of balancers; new ones ask
+	// for reports themselves.
+	balancersPeriod = 8 * time.Second
 	// balancerLifetime forgets a balancer that was neither heard nor listed.
 	balancerLifetime = 20 * time.Second
 	// maxBalancers bounds the balancers that get reports.
--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -95,17 +95,15 @@
 // followBalancers reads which balancers are there, at the start and now and
 // then.
 func (a *Agent) followBalancers(ctx context.Context) {
-	cached := false
 	for ctx.Err() == nil {
 		c, cancel := context.WithTimeout(ctx, callTimeout)
-		l, err := a.config.Registry.Balancers(c, cached)
+		l, err := a.config.Registry.Balancers(c, true)
 		cancel()
 		if err != nil {
 			a.failed("list balancers", err)
 			pause(ctx, callPause)
 			continue
 		}
-		cached = true
 		a.mu.Lock()
 		now := time.Now()
 		for _, x := range l {
@@ -113,7 +111,7 @@
 		}
 		a.report(now)
 		a.mu.Unlock()
-		pause(ctx, listPeriod)
+		pause(ctx, balancersPeriod)
 	}
 }
 
@@ -121,7 +119,7 @@
 func (a *Agent) followDeclared(ctx context.Context) {
 	for ctx.Err() == nil {
 		c, cancel := context.WithTimeout(ctx, callTimeout)
-		d, _, err := a.config.Registry.Config(c)
+		d, err := a.config.Registry.CachedConfig(c)
 		cancel()
 		if err != nil {
 			a.failed("read configuration", err)
--- a/host/balancer.go
+++ b/host/balancer.go
@@ -7,16 +7,17 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/freshness"
 	"github.com/lentilshed/lentilshed/placement"
 	"github.com/lentilshed/lentilshed/relay"
-	"github.com/lentilshed/lentilshed/routing"
-	"github.com/lentilshed/lentilshed/store"
+	"github.com/zeebo/xxh3"
 )
 
 // BalancerConfig says where a balancer runs and what it works with.
@@ -28,6 +29,8 @@
 	Packets netip.AddrPort
 	// Peer is where agents and other balancers send datagrams.
 	Peer netip.AddrPort
+	// Peers are addresses where other balancers may run.
+	Peers []netip.AddrPort
 	// Grace bounds the time from the request to stop to the end.
 	Grace     time.Duration
 	Placement placement.Config
@@ -48,6 +51,15 @@
 	// flushing is set while a flush of queries is due.
 	flushing bool
 	stopping atomic.Bool
+	// fresh is the age of the declared state; peers are the other balancers, by
+	// address and by name.
+	fresh     *freshness.Model
+	peers     map[netip.AddrPort]time.Time
+	peerNames map[string]netip.AddrPort
+	told      time.Time
+	looks     [2]chan struct{}
+	fetches   chan netip.AddrPort
+	server    *http.Server
 	// passed counts packets of callers, so that a stop can wait for them.
 	passed atomic.Uint64
 	cancel context.CancelFunc
@@ -65,9 +77,16 @@
 	callTimeout = 800 * time.Millisecond
 	// callPause is the time between failed calls.
 	callPause = 250 * time.Millisecond
-	// configWait is the longest time without news from the registry; accepted
-	// configurations are in force within 3 s.
-	configWait = 1200 * time.Millisecond
+	// watchTime is the longest wait at the store for a change.
+	watchTime = 20 * time.Second
+	// configAge and domainsAge are the longest times without a confirmation that
+	// the state in force is the newest; configurations are in force within 3 s,
+	// domains are out within 5 s.
+	configAge  = 1600 * time.Millisecond
+	domainsAge = 2800 * time.Millisecond
+	// watchers is the number of balancers that wait at the store; two may be
+	// turned away by it.
+	watchers = 3
 )
 
 // NewBalancer opens the sockets and starts all duties.
@@ -81,6 +100,20 @@
 		}, time.Now()),
 		list:   make(chan struct{}, 1),
 		cancel: cancel,
+		fresh: freshness.NewModel(freshness.Config{
+			Self:       c.Name,
+			ConfigAge:  configAge,
+			DomainsAge: domainsAge,
+			Watchers:   watchers,
+			Seed:       xxh3.HashString(c.Name),
+		}),
+		peers:     map[netip.AddrPort]time.Time{},
+		peerNames: map[string]netip.AddrPort{},
+		looks:     [2]chan struct{}{make(chan struct{}, 1), make(chan struct{}, 1)},
+		fetches:   make(chan netip.AddrPort, 1),
+	}
+	for _, x := range c.Peers {
+		b.peers[x] = time.Now()
 	}
 	var err error
 	if b.packets, err = openSocket(c.Packets); err != nil {
@@ -92,6 +125,12 @@
 		b.packets.close()
 		return nil, err
 	}
+	if err = b.serveDeclared(); err != nil {
+		cancel()
+		b.packets.close()
+		b.peer.close()
+		return nil, err
+	}
 	b.start(ctx)
 	return b, nil
 }
@@ -102,6 +141,8 @@
 	b.run(func() { b.followConfig(ctx) })
 	b.run(func() { b.followDomains(ctx) })
 	b.run(func() { b.followAgents(ctx) })
+	b.run(func() { b.followPeers(ctx) })
+	b.run(func() { b.fetchDeclared(ctx) })
 	b.run(func() { b.register(ctx) })
 	b.run(func() { b.ticks(ctx) })
 }
@@ -171,6 +212,7 @@
 	b.cancel()
 	b.packets.close()
 	b.peer.close()
+	_ = b.server.Close()
 	b.wait.Wait()
 }
 
@@ -231,42 +273,10 @@
 			b.update(director.WokenMsg{})
 		}
 		b.update(director.TickMsg{})
+		b.tickFreshness()
 	}
 }
 
-func (b *Balancer) followConfig(ctx context.Context) {
-	f := store.Feed[*routing.Config]{
-		Read:     b.config.Registry.Config,
-		Wait:     b.config.Registry.WaitConfig,
-		WaitTime: func() time.Duration { return configWait },
-		Changed: func(c *routing.Config, _ store.Revision) {
-			b.update(director.ConfigMsg{
-				Config: c,
-			})
-		},
-		Confirmed: func(time.Time) {},
-		Failed:    b.failed("follow configuration"),
-	}
-	f.Run(ctx)
-}
-
-func (b *Balancer) followDomains(ctx context.Context) {
-	f := store.Feed[[]string]{
-		Read:     b.config.Registry.Domains,
-		Wait:     b.config.Registry.WaitDomains,
-		WaitTime: func() time.Duration { return configWait },
-		Changed: func(out []string, r store.Revision) {
-			b.update(director.DomainsMsg{
-				Out:      out,
-				Revision: uint64(r),
-			})
-		},
-		Confirmed: func(time.Time) {},
-		Failed:    b.failed("follow failure domains"),
-	}
-	f.Run(ctx)
-}
-
 func (b *Balancer) failed(event string) func(error) {
 	return func(err error) {
 		b.config.Note(Note{
--- a/host/balancer_peer.go
+++ b/host/balancer_peer.go
@@ -53,6 +53,8 @@
 		b.update(reportMsg(from, x.Report))
 	case *controlpb.Datagram_Answer:
 		b.update(answerMsg(from, x.Answer))
+	case *controlpb.Datagram_Digest:
+		b.digest(from, x.Digest)
 	}
 }
 
--- a/host/registry.go
+++ b/host/registry.go
@@ -14,12 +14,13 @@
 // Registry is what lasts of the system, outside its processes. Cached lists are
 // cheap and may be seconds old.
 type Registry struct {
-	Config      func(context.Context) (*routing.Config, store.Revision, error)
-	WaitConfig  func(ctx context.Context, after store.Revision, wait time.Duration) (*routing.Config, store.Revision, bool, error)
-	Domains     func(context.Context) ([]string, store.Revision, error)
-	WaitDomains func(ctx context.Context, after store.Revision, wait time.Duration) ([]string, store.Revision, bool, error)
-	Agents      func(ctx context.Context, cached bool) ([]director.Member, error)
-	Balancers   func(ctx context.Context, cached bool) ([]netip.AddrPort, error)
+	Config       func(context.Context) (*routing.Config, store.Revision, error)
+	CachedConfig func(context.Context) (*routing.Config, error)
+	WaitConfig   func(ctx context.Context, after store.Revision, wait time.Duration) (*routing.Config, store.Revision, bool, error)
+	Domains      func(context.Context) ([]string, store.Revision, error)
+	WaitDomains  func(ctx context.Context, after store.Revision, wait time.Duration) ([]string, store.Revision, bool, error)
+	Agents       func(ctx context.Context, cached bool) ([]director.Member, error)
+	Balancers    func(ctx context.Context, cached bool) ([]netip.AddrPort, error)
 	// RegisterAgent records an agent and the life of its backend server;
 	// RecordedLife reads that life, zero if there is no record.
 	RegisterAgent      func(ctx context.Context, m director.Member, born uint64) error
--- a/routing/config.go
+++ b/routing/config.go
@@ -2,29 +2,11 @@
 // and port belongs to which service, and what each service's targets bear.
 package routing
 
-import (
-	"time"
-
-	"github.com/lentilshed/lentilshed/flow"
-)
+import "time"
 
 // Version orders configurations; it only rises.
 type Version uint64
 
-// Address is what callers connect to.
-type Address struct {
-	Host uint32
-	Port uint16
-}
-
-// Of returns the address that the caller of a flow connected to.
-func Of(t flow.Tuple) Address {
-	return Address{
-		Host: t.Address,
-		Port: t.AddressPort,
-	}
-}
-
 // Config is one accepted configuration. It is immutable once built.
 type Config struct {
 	Version  Version
--- a/settings/passing.go
+++ b/settings/passing.go
@@ -20,7 +20,8 @@
 	// Packets takes the packets of callers, at a balancer, and the datagrams of
 	// balancers, at an agent.
 	Packets string `toml:"packet_address"`
-	// Peer takes datagrams of agents and balancers, at a balancer.
+	// Peer takes datagrams of agents and balancers, at a balancer; an agent takes
+	// its port for that of the balancers.
 	Peer string `toml:"peer_address"`
 	// Ready answers whether the instance serves.
 	Ready string `toml:"ready_address"`
@@ -50,6 +51,7 @@
 	c.address("passing.packet_address", p.Packets)
 	c.address("passing.ready_address", p.Ready)
 	c.address("passing.platform", p.Platform)
+	c.address("passing.peer_address", p.Peer)
 	c.optionalAddress("passing.metrics_address", p.Metrics)
 	for n, s := range p.Seeds {
 		c.address(fmt.Sprintf("passing.seeds[%d]", n), s)
@@ -62,7 +64,6 @@
 	}
 	switch p.Role {
 	case RoleBalancer:
-		c.address("passing.peer_address", p.Peer)
 		c.optionalAddress("passing.calls_address", p.Calls)
 	case RoleAgent:
 		c.address("passing.calls_address", p.Calls)
--- a/store/feed.go
+++ b/store/feed.go
@@ -23,8 +23,11 @@
 	// Wait returns the state again once it has changed after a revision, or
 	// false when the wait has passed without a change.
 	Wait func(ctx context.Context, after Revision, wait time.Duration) (T, Revision, bool, error)
-	// WaitTime returns how long the next wait may take.
+	// WaitTime returns how long the next wait may take; zero leaves waiting to
+	// others until the next kick.
 	WaitTime func() time.Duration
+	// Kick asks for a look at the state now.
+	Kick <-chan struct{}
 	// Changed takes each state, Confirmed each moment at which the held state was
 	// asked for and found to be the newest, and Failed each failed call.
 	Changed   func(T, Revision)
@@ -37,6 +40,10 @@
 	readTimeout = 800 * time.Millisecond
 	// waitSlack is added to a wait before its connection is given up.
 	waitSlack = 700 * time.Millisecond
+	// lookTime is the shortest wait that the platform takes.
+	lookTime = time.Millisecond
+	// idlePause is the time between questions whether this process should wait.
+	idlePause = 500 * time.Millisecond
 	// feedPause and feedPauseMax bound the pause after a failed call.
 	feedPause    = 100 * time.Millisecond
 	feedPauseMax = 600 * time.Millisecond
@@ -57,31 +64,75 @@
 			return
 		}
 		f.Failed(err)
+		after = 0
 		if errors.Is(err, ErrHistoryGone) {
-			after = 0
 			continue
 		}
 		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, feedPauseMax)
-		after = 0
 	}
 }
 
 // step reads the state, or waits for the next change of it.
 func (f *Feed[T]) step(ctx context.Context, after Revision) (Revision, error) {
-	asked := time.Now()
 	if after == 0 {
-		c, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		x, at, err := f.Read(c)
-		if err != nil {
-			return 0, err
-		}
-		f.Changed(x, at)
-		f.Confirmed(asked)
-		return at, nil
+		return f.read(ctx)
 	}
 	wait := f.WaitTime()
+	if wait > 0 {
+		return f.await(ctx, after, wait)
+	}
+	t := time.NewTimer(idlePause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-f.Kick:
+		return f.look(ctx, after, lookTime)
+	}
+	return after, nil
+}
+
+func (f *Feed[T]) read(ctx context.Context) (Revision, error) {
+	asked := time.Now()
+	c, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	x, at, err := f.Read(c)
+	if err != nil {
+		return 0, err
+	}
+	f.Changed(x, at)
+	f.Confirmed(asked)
+	return at, nil
+}
+
+// await waits for a change until it is kicked; then it looks at once, on
+// another connection if this one has gone silent.
+func (f *Feed[T]) await(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
+	c, cancel := context.WithCancel(ctx)
+	defer cancel()
+	kicked := make(chan struct{})
+	go func() {
+		select {
+		case <-f.Kick:
+			close(kicked)
+			cancel()
+		case <-c.Done():
+		}
+	}()
+	at, err := f.look(c, after, wait)
+	select {
+	case <-kicked:
+		if err != nil && ctx.Err() == nil {
+			return f.look(ctx, after, lookTime)
+		}
+	default:
+	}
+	return at, err
+}
+
+// look waits for a change for a bounded time.
+func (f *Feed[T]) look(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
 	c, cancel := context.WithTimeout(ctx, wait+waitSlack)
 	defer cancel()
 	x, at, changed, err := f.Wait(c, after, wait)
