Spread a rush of flows over targets; leave the rotation when cut off

Cause: after power loss all balancers gave their flows to the target that was least used at the last report: 522 flows on one, 50 on its neighbour, for the life of the flows. Cut-off balancers stayed ready and dropped a quarter of their domain's packets. Change: the better of two drawn targets where there are four or more; new flows count with their first request; an agent with three requests a slot in work refuses and the next is asked; reports while flows rush in. A balancer that hears less than a fifth of the agents is not ready. Copies of first packets leave silent agents. Ruled out: capacity; the targets had room two seconds after their start.

--- a/director/model.go
+++ b/director/model.go
@@ -112,12 +112,38 @@
 	return m.queued
 }
 
-// Ready reports whether packets can be served: the configuration is in force
-// and agents are known.
-func (m *Model) Ready() bool {
-	return m.declared != nil && (len(m.members) > 0 || !m.listedAt.IsZero())
+// Ready reports whether packets can be served here: the configuration is in
+// force, and a part of the agents is heard. A balancer that hears fewer is cut
+// off itself; the fabric does better with its neighbours.
+func (m *Model) Ready(now time.Time) bool {
+	if m.declared == nil || (len(m.members) == 0 && m.listedAt.IsZero()) {
+		return false
+	}
+	known := 0
+	heard := 0
+	for _, x := range m.members {
+		silence := now.Sub(x.heard)
+		if silence < missedLimit || now.Sub(m.started) < missedLimit {
+			known++
+		}
+		if silence < heardLimit {
+			heard++
+		}
+	}
+	return heard*readyPart >= known
 }
 
+const (
+	// heardLimit is longer than the time between two reports.
+	heardLimit = 900 * time.Millisecond
+	// missedLimit is the silence after which an agent no longer counts as one
+	// that should be heard.
+	missedLimit = 10 * time.Second
+	// readyPart is one over the part of the agents that must be heard: a region
+	// may lose most of its domains.
+	readyPart = 5
+)
+
 // Version returns the version of the configuration in force; zero is none.
 func (m *Model) Version() routing.Version {
 	if m.declared == nil {
--- a/director/place.go
+++ b/director/place.go
@@ -12,8 +12,10 @@
 	// maxPlacements bounds the agents asked to take one new flow.
 	maxPlacements = 4
 	// quietLimit is the silence after which the copy of a first packet goes to
-	// another agent: two reports and a half.
-	quietLimit = 1200 * time.Millisecond
+	// another agent: a little more than the time between two reports.
+	quietLimit = 650 * time.Millisecond
+	// placeSalt keeps the choice of a target apart from other uses of the hash.
+	placeSalt = 0x71ace
 	// startGrace is the time after the start in which agents may not have been
 	// heard yet; new flows wait for the caller's next copy.
 	startGrace = 1500 * time.Millisecond
@@ -56,7 +58,7 @@
 		m.refuse(s)
 		return
 	}
-	x := m.choose(now, service, h)
+	x := m.choose(now, service, h, s.Tuple.Hash(placeSalt))
 	switch {
 	case x != nil:
 		h.member = x
@@ -78,7 +80,7 @@
 	m.reset(s, CauseNoTarget)
 }
 
-func (m *Model) choose(now time.Time, service string, h *hint) *member {
+func (m *Model) choose(now time.Time, service string, h *hint, seed uint64) *member {
 	m.choice = m.choice[:0]
 	m.choiceMembers = m.choiceMembers[:0]
 	for _, x := range m.services[service] {
@@ -88,7 +90,7 @@
 		m.choice = append(m.choice, x.candidate(now, m.config.Domain))
 		m.choiceMembers = append(m.choiceMembers, x)
 	}
-	i, ok := m.config.Placement.Choose(m.choice)
+	i, ok := m.config.Placement.Choose(m.choice, seed)
 	if !ok {
 		return nil
 	}
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -50,6 +50,8 @@
 		return RejectDraining
 	case !m.server.ready || !m.server.mayOpen():
 		return RejectDown
+	case m.load.full(m.server.slots):
+		return RejectFull
 	case m.declared.MaxFlows > 0 && len(m.flows) >= m.declared.MaxFlows:
 		return RejectFull
 	case m.declared.ColdRate <= 0:
--- a/holder/load.go
+++ b/holder/load.go
@@ -17,6 +17,9 @@
 }
 
 const (
+	// fullPart is the number of requests in work a slot from which on a target
+	// takes no new flows: two wait for each one that is worked on.
+	fullPart = 3
 	// busyWindow is the memory of the mean load; a burst shows within a second.
 	busyWindow = 700 * time.Millisecond
 	// latencyShare is the weight of one answer in the mean latency.
@@ -45,6 +48,12 @@
 	l.working--
 }
 
+// full reports whether a new flow would wait for so long that another target
+// serves it sooner.
+func (l *load) full(slots uint32) bool {
+	return slots > 0 && l.working >= fullPart*int(slots)
+}
+
 func (l *load) waiting() bool {
 	return l.working > 0
 }
--- a/holder/model.go
+++ b/holder/model.go
@@ -32,6 +32,8 @@
 	cold     *target.ColdBudget
 	load     load
 	stopping bool
+	// reported is the number of flows in the latest report.
+	reported int
 	sweepAt  time.Time
 	stats    Stats
 	effects  []Effect
@@ -69,6 +71,8 @@
 	// ackWindow bounds how far an acknowledgement may be ahead of the start of
 	// a flow that has just opened.
 	ackWindow = 1 << 16
+	// askedLimit is the time after which a request counts as in work no more.
+	askedLimit = 3 * time.Second
 	// sweepPeriod is the time between two searches for forgotten flows.
 	sweepPeriod = time.Second
 )
@@ -139,6 +143,7 @@
 func (m *Model) tick(now time.Time) {
 	m.load.tick(now)
 	m.watch(now)
+	m.reportGrowth()
 	if now.Before(m.sweepAt) {
 		return
 	}
@@ -149,8 +154,13 @@
 // sweep forgets flows that have ended or were silent for too long.
 func (m *Model) sweep(now time.Time) {
 	for t, e := range m.flows {
-		if now.Sub(e.seen) > m.lifetime(e) {
+		switch {
+		case now.Sub(e.seen) > m.lifetime(e):
 			m.forget(t, e)
+		case e.working() && now.Sub(e.asked) > askedLimit:
+			// The caller has given up, or the answer was lost for good.
+			e.asked = time.Time{}
+			m.load.abandon()
 		}
 	}
 }
--- a/holder/report.go
+++ b/holder/report.go
@@ -34,6 +34,7 @@
 // Report returns the present state of the target.
 func (m *Model) Report(now time.Time) Report {
 	m.load.advance(now)
+	m.reported = len(m.flows)
 	return Report{
 		Availability: m.availability(),
 		Slots:        m.server.slots,
@@ -64,3 +65,17 @@
 func (m *Model) Ended() bool {
 	return m.server.gone || m.server.left
 }
+
+const (
+	// growthPart and growthLeast are the change of open flows that is reported
+	// at once, so that balancers see a rush while it goes on.
+	growthPart  = 8
+	growthLeast = 6
+)
+
+// reportGrowth reports when many flows have come since the last report.
+func (m *Model) reportGrowth() {
+	if grown := len(m.flows) - m.reported; grown > growthLeast && grown > m.reported/growthPart {
+		m.emit(ReportEffect{})
+	}
+}
--- a/host/balancer.go
+++ b/host/balancer.go
@@ -158,7 +158,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.model.Ready()
+	return b.model.Ready(time.Now())
 }
 
 // Stats returns the counters so far.
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -22,25 +22,38 @@
 	return Config{
 		RemoteUse:   0.7,
 		RemoteGain:  0.25,
-		HeardLimit:  1500 * time.Millisecond,
+		HeardLimit:  800 * time.Millisecond,
 		ColdPenalty: 0.3,
 	}
 }
 
-// minFlowLoad is the least load that a flow is taken to bring, in slots. It
-// spreads flows while nothing is known about their load.
-const minFlowLoad = 0.02
+const (
+	// minFlowLoad is the least load that a flow is taken to bring, in slots. It
+	// spreads flows while nothing is known about their load.
+	minFlowLoad = 0.02
+	// newFlowLoad is the load that a flow brings until the next report: its
+	// first request, of some 40 ms, within half a second.
+	newFlowLoad = 0.08
+	// sampleFrom is the number of members from which on two are drawn and
+	// compared, instead of all.
+	sampleFrom = 4
+	// silentUse puts members that are not heard behind all others.
+	silentUse = 1000
+)
 
 // Choose returns the index of the member for a new flow, or false if there is
 // none. Members of the caller's failure domain come first while they have room;
-// silent members only when nobody else is left.
+// silent members only when nobody else is left. Seed makes the choice among
+// many members; the copies of a flow's first packet have the same.
 //
 // It answers the daily load, where every domain serves itself; a domain whose
-// clients outgrow its targets; and the return of a target with empty slots.
-func (c Config) Choose(members []Member) (int, bool) {
+// clients outgrow its targets; and the return of everything at once, when many
+// balancers place thousands of flows between two reports: the least used of
+// all would get them all, the better of two drawn ones gets its share.
+func (c Config) Choose(members []Member, seed uint64) (int, bool) {
 	perFlow := meanFlowLoad(members)
-	local, localUse := c.best(members, perFlow, true)
-	remote, remoteUse := c.best(members, perFlow, false)
+	local, localUse := c.best(members, perFlow, true, seed)
+	remote, remoteUse := c.best(members, perFlow, false, seed)
 	switch {
 	case local < 0 && remote < 0:
 		return 0, false
@@ -56,16 +69,29 @@
 	return local, true
 }
 
-// silentUse puts members that are not heard behind all others.
-const silentUse = 1000
-
-func (c Config) best(members []Member, perFlow float64, local bool) (int, float64) {
+// best returns the least used of the members on one side, or of two of them
+// when there are many.
+func (c Config) best(members []Member, perFlow float64, local bool, seed uint64) (int, float64) {
+	n := 0
+	for _, m := range members {
+		if m.Local == local && m.Heard <= c.HeardLimit {
+			n++
+		}
+	}
+	first, second := draw(n, seed)
 	best := -1
 	least := 0.0
+	rank := -1
 	for i, m := range members {
 		if m.Local != local {
 			continue
 		}
+		if m.Heard <= c.HeardLimit {
+			rank++
+			if n >= sampleFrom && rank != first && rank != second {
+				continue
+			}
+		}
 		u := c.weigh(m, perFlow)
 		if best < 0 || u < least {
 			best = i
@@ -75,6 +101,19 @@
 	return best, least
 }
 
+// draw returns two different numbers below n.
+func draw(n int, seed uint64) (first, second int) {
+	if n < 2 {
+		return 0, 0
+	}
+	first = int(seed % uint64(n))
+	second = int((seed / uint64(n)) % uint64(n-1))
+	if second >= first {
+		second++
+	}
+	return first, second
+}
+
 func (c Config) weigh(m Member, perFlow float64) float64 {
 	u := m.use(perFlow)
 	if m.Cold {
--- a/placement/member.go
+++ b/placement/member.go
@@ -26,5 +26,5 @@
 // has come, with the mean load of a flow.
 func (m Member) use(perFlow float64) float64 {
 	slots := float64(max(m.Slots, 1))
-	return (m.Busy + (float64(m.Placed)+1)*perFlow) / slots
+	return (m.Busy + perFlow + float64(m.Placed)*max(perFlow, newFlowLoad)) / slots
 }
