Look after the flows of an earlier process and tell the callers of dead ones

After a restart it searches for them: living ones become hints, the callers of dead ones are reset at once. The same search starts when an agent reports another life of its backend server.

--- a/director/hint.go
+++ b/director/hint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/segment"
 )
 
 // hint is where a flow lives, as far as this balancer knows. Losing one costs
@@ -11,6 +12,11 @@
 type hint struct {
 	member *member
 	used   time.Time
+	// ack is the caller's newest acknowledgement; opened is set once there was
+	// one, and closing once the caller ends the flow.
+	ack     uint32
+	opened  bool
+	closing bool
 	// first is the sequence number of the first packet while the flow opens.
 	first uint32
 	// tried are the agents that refused the new flow.
@@ -28,6 +34,18 @@
 	m.hints[t] = h
 }
 
+// note learns from a packet of a flow that has opened.
+func (h *hint) note(now time.Time, s segment.Segment) {
+	h.used = now
+	if s.Has(segment.Ack) {
+		h.ack = s.Ack
+		h.opened = true
+	}
+	if s.Flags&(segment.Fin|segment.Rst) != 0 {
+		h.closing = true
+	}
+}
+
 func (h *hint) hasTried(x *member) bool {
 	for _, t := range h.tried {
 		if t == x {
--- a/director/lookup.go
+++ b/director/lookup.go
@@ -18,8 +18,9 @@
 	reach   reach
 	started time.Time
 	// asked is the latest time of asking, and retry the time until the next.
-	asked time.Time
-	retry time.Duration
+	asked   time.Time
+	retry   time.Duration
+	timeout time.Duration
 }
 
 // reach is how far a search has come.
@@ -69,18 +70,10 @@
 func (m *Model) seek(now time.Time, r routing.Route, s segment.Segment, data []byte) {
 	l := m.lookups[s.Tuple]
 	if l == nil {
-		if len(m.lookups) >= maxLookups {
-			m.stats.LookupsDropped++
-			return
-		}
-		l = &lookup{
-			replies: map[*member]reply{},
-			started: now,
-			asked:   now,
-			retry:   lookupRetry,
-		}
-		m.lookups[s.Tuple] = l
-		m.stats.Lookups++
+		l = m.newLookup(now, s)
+	}
+	if l == nil {
+		return
 	}
 	l.segment = s
 	if len(l.held) < lookupPackets {
@@ -92,6 +85,25 @@
 	m.conclude(now, l)
 }
 
+// newLookup starts a search, or returns nil when there are too many.
+func (m *Model) newLookup(now time.Time, s segment.Segment) *lookup {
+	if len(m.lookups) >= maxLookups {
+		m.stats.LookupsDropped++
+		return nil
+	}
+	l := &lookup{
+		segment: s,
+		replies: map[*member]reply{},
+		started: now,
+		asked:   now,
+		retry:   lookupRetry,
+		timeout: lookupTimeout,
+	}
+	m.lookups[s.Tuple] = l
+	m.stats.Lookups++
+	return l
+}
+
 // widen asks the agents within the reach of a search that were not asked yet.
 func (m *Model) widen(r routing.Route, l *lookup) {
 	for _, x := range m.members {
@@ -180,7 +192,9 @@
 	}
 	delete(m.lookups, t)
 	m.stats.Found++
-	if l.replies[x] == replyOffered {
+	h.ack = l.segment.Ack
+	h.opened = true
+	if l.replies[x] == replyOffered && len(l.held) > 0 {
 		l.held = l.held[1:]
 	}
 	for _, b := range l.held {
@@ -191,6 +205,11 @@
 // offer hands a packet to the agents that do not know all flows of their backend
 // servers, once nobody else can hold the flow.
 func (m *Model) offer(l *lookup) {
+	if len(l.held) == 0 {
+		// A search without a packet leaves the flow to its caller's next one.
+		delete(m.lookups, l.segment.Tuple)
+		return
+	}
 	for x, r := range l.replies {
 		if r == replyUnsure {
 			l.replies[x] = replyOffered
@@ -269,7 +288,7 @@
 func (m *Model) tickLookups(now time.Time) {
 	for t, l := range m.lookups {
 		switch {
-		case now.Sub(l.started) > lookupTimeout:
+		case now.Sub(l.started) > l.timeout:
 			delete(m.lookups, t)
 			m.stats.LookupsTimedOut++
 			m.noteTimeout(l)
--- a/director/model.go
+++ b/director/model.go
@@ -39,6 +39,8 @@
 	services map[string][]*member
 	hints    map[flow.Tuple]*hint
 	lookups  map[flow.Tuple]*lookup
+	// unverified are flows that are to be searched for.
+	unverified []Remembered
 	// listedAt is the time of asking of the newest list of agents.
 	listedAt  time.Time
 	listAsked time.Time
@@ -97,6 +99,8 @@
 		m.domains(x)
 	case MembersMsg:
 		m.list(now, x)
+	case RestoreMsg:
+		m.restore(x)
 	case WokenMsg:
 		m.woken()
 	case FlushMsg:
@@ -203,7 +207,7 @@
 		return
 	}
 	if h := m.hints[s.Tuple]; h != nil {
-		h.used = now
+		h.note(now, s)
 		m.send(h.member, data, false)
 		return
 	}
@@ -284,6 +288,7 @@
 
 func (m *Model) tick(now time.Time) {
 	m.tickLookups(now)
+	m.tickVerify(now)
 	if now.Before(m.sweepAt) {
 		return
 	}
--- /dev/null
+++ b/director/restore.go
@@ -0,0 +1,111 @@
+package director
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/segment"
+)
+
+// Remembered is a flow that passed a balancer, and its caller's newest
+// acknowledgement then.
+type Remembered struct {
+	Tuple flow.Tuple
+	Ack   uint32
+}
+
+// RestoreMsg brings the flows that an earlier process of this balancer had
+// remembered. Those that live are found again; the callers of those that died
+// with their backend servers are told before they send the next request, which
+// they might not be able to repeat.
+type RestoreMsg struct {
+	Flows []Remembered
+}
+
+const (
+	// restoreDelay lets agents start that lost power together with a balancer.
+	restoreDelay = 300 * time.Millisecond
+	// verifyTimeout gives a search without packets up.
+	verifyTimeout = 4 * time.Second
+	// verifyBatch bounds the searches that one tick starts, so that the links of
+	// thin instances carry packets meanwhile.
+	verifyBatch = 150
+)
+
+// Snapshot returns up to limit open flows that pass this balancer, the most
+// recently used ones among any.
+func (m *Model) Snapshot(now time.Time, limit int) []Remembered {
+	var l []Remembered
+	for t, h := range m.hints {
+		if len(l) == limit {
+			break
+		}
+		if h.opened && !h.closing && now.Sub(h.used) < hintLifetime/2 {
+			l = append(l, Remembered{
+				Tuple: t,
+				Ack:   h.ack,
+			})
+		}
+	}
+	return l
+}
+
+func (m *Model) restore(x RestoreMsg) {
+	m.unverified = append(m.unverified, x.Flows...)
+}
+
+// verifyMember searches for the flows that were at a member whose backend
+// server has started anew.
+func (m *Model) verifyMember(k *member) {
+	n := 0
+	for t, h := range m.hints {
+		if h.member != k {
+			continue
+		}
+		delete(m.hints, t)
+		if h.opened && !h.closing {
+			n++
+			m.unverified = append(m.unverified, Remembered{
+				Tuple: t,
+				Ack:   h.ack,
+			})
+		}
+	}
+	m.emit(NoteEffect{
+		Event:  "backend server started anew, looking for its flows",
+		Member: k.Name,
+		Count:  n,
+	})
+}
+
+// tickVerify starts searches for remembered flows once agents are heard.
+func (m *Model) tickVerify(now time.Time) {
+	if len(m.unverified) == 0 || m.declared == nil || now.Sub(m.started) < restoreDelay || !m.Ready(now) {
+		return
+	}
+	n := min(len(m.unverified), verifyBatch)
+	for _, f := range m.unverified[:n] {
+		m.verify(now, f)
+	}
+	m.unverified = m.unverified[n:]
+}
+
+func (m *Model) verify(now time.Time, f Remembered) {
+	r, ok := m.declared.Routes[routing.Of(f.Tuple)]
+	if !ok || m.hints[f.Tuple] != nil || m.lookups[f.Tuple] != nil {
+		return
+	}
+	m.stats.Verified++
+	l := m.newLookup(now, segment.Segment{
+		Tuple: f.Tuple,
+		Flags: segment.Ack,
+		Ack:   f.Ack,
+	})
+	if l == nil {
+		return
+	}
+	l.timeout = verifyTimeout
+	m.widen(r, l)
+	m.conclude(now, l)
+}
--- a/director/roster.go
+++ b/director/roster.go
@@ -24,6 +24,12 @@
 			Count:  int(x.Flows),
 		})
 	}
+	if x.Life != 0 && k.life != 0 && x.Life != k.life {
+		m.verifyMember(k)
+	}
+	if x.Life != 0 {
+		k.life = x.Life
+	}
 	k.Member = x.Member
 	k.report = x.Report
 	k.heard = now
--- a/director/stats.go
+++ b/director/stats.go
@@ -16,6 +16,7 @@
 	Found           uint64
 	Unheld          uint64
 	Offers          uint64
+	Verified        uint64
 	Lists           uint64
 	Hints           int
 	Members         int
--- a/holder/report.go
+++ b/holder/report.go
@@ -24,11 +24,13 @@
 // Report is what an agent tells balancers about its target.
 type Report struct {
 	Availability Availability
-	Slots        uint32
-	Flows        uint32
-	Busy         float64
-	Cold         time.Duration
-	Latency      time.Duration
+	// Life names the present life of the backend server; zero is not known.
+	Life    uint64
+	Slots   uint32
+	Flows   uint32
+	Busy    float64
+	Cold    time.Duration
+	Latency time.Duration
 }
 
 // Report returns the present state of the target.
@@ -37,6 +39,7 @@
 	m.reported = len(m.flows)
 	return Report{
 		Availability: m.availability(),
+		Life:         m.life(),
 		Slots:        m.server.slots,
 		Flows:        uint32(len(m.flows)),
 		Busy:         m.load.busy,
@@ -79,3 +82,10 @@
 		m.emit(ReportEffect{})
 	}
 }
+
+func (m *Model) life() uint64 {
+	if !m.server.known {
+		return 0
+	}
+	return m.server.born
+}
--- a/host/balancer.go
+++ b/host/balancer.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/freshness"
 	"github.com/lentilshed/lentilshed/placement"
@@ -144,6 +145,7 @@
 	b.run(func() { b.followPeers(ctx) })
 	b.run(func() { b.fetchDeclared(ctx) })
 	b.run(func() { b.register(ctx) })
+	b.run(func() { b.keepFlows(ctx) })
 	b.run(func() { b.ticks(ctx) })
 }
 
@@ -199,7 +201,9 @@
 func (c *BalancerConfig) unregister(ctx context.Context) {
 	x, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := c.Registry.UnregisterBalancer(x, c.Name); err != nil {
+	err := c.Registry.UnregisterBalancer(x, c.Name)
+	err = errors.CombineErrors(err, c.Registry.DropFlows(x, c.Name))
+	if err != nil {
 		c.Note(Note{
 			Event: "record was not removed",
 			Err:   err,
--- a/host/message.go
+++ b/host/message.go
@@ -85,6 +85,7 @@
 				Flows:         r.Flows,
 				BusyMilli:     uint32(r.Busy * milli),
 				ColdMs:        uint32(r.Cold.Milliseconds()),
+				BackendLife:   r.Life,
 				LatencyMicros: uint32(r.Latency.Microseconds()),
 			},
 		},
@@ -108,6 +109,7 @@
 			Sequence:    r.GetSequence(),
 		},
 		Report: holder.Report{
+			Life:    r.GetBackendLife(),
 			Slots:   r.GetSlots(),
 			Flows:   r.GetFlows(),
 			Busy:    float64(r.GetBusyMilli()) / milli,
--- a/host/registry.go
+++ b/host/registry.go
@@ -23,9 +23,14 @@
 	Balancers    func(ctx context.Context, cached bool) ([]netip.AddrPort, error)
 	// RegisterAgent records an agent and the life of its backend server;
 	// RecordedLife reads that life, zero if there is no record.
-	RegisterAgent      func(ctx context.Context, m director.Member, born uint64) error
-	RecordedLife       func(ctx context.Context, name string) (uint64, error)
-	RegisterBalancer   func(ctx context.Context, name, domain string, a netip.AddrPort) error
+	RegisterAgent    func(ctx context.Context, m director.Member, born uint64) error
+	RecordedLife     func(ctx context.Context, name string) (uint64, error)
+	RegisterBalancer func(ctx context.Context, name, domain string, a netip.AddrPort) error
+	// SaveFlows keeps a snapshot of the flows that pass a balancer, LoadFlows
+	// returns it, empty for none, and DropFlows removes it.
+	SaveFlows          func(ctx context.Context, name string, snapshot []byte) error
+	LoadFlows          func(ctx context.Context, name string) ([]byte, error)
+	DropFlows          func(ctx context.Context, name string) error
 	UnregisterAgent    func(ctx context.Context, name string) error
 	UnregisterBalancer func(ctx context.Context, name string) error
 }
