--- a/director/lookup.go
+++ b/director/lookup.go
@@ -21,6 +21,8 @@
 	asked   time.Time
 	retry   time.Duration
 	timeout time.Duration
+	// offers counts the packets offered to agents that have been there for long.
+	offers int
 }
 
 // reach is how far a search has come.
@@ -58,6 +60,13 @@
 	lookupRetry = 60 * time.Millisecond
 	// lookupTimeout gives a search up; the caller's next packet starts another.
 	lookupTimeout = 1200 * time.Millisecond
+	// recentLife is the time after the start of an agent in which it does not know
+	// its flows through no plan of anyone's; a search may offer packets to any
+	// number of such agents. Of others, maxOffers get a packet: a third that is
+	// wrong within offerTimeout could lead a live flow astray.
+	recentLife   = 4 * time.Second
+	maxOffers    = 2
+	offerTimeout = 2100 * time.Millisecond
 	// lookupPackets bounds the packets that wait for one search.
 	lookupPackets = 4
 	// maxLookups bounds the searches at a time.
@@ -204,18 +213,26 @@
 
 // offer hands a packet to the agents that do not know all flows of their backend
 // servers, once nobody else can hold the flow.
-func (m *Model) offer(l *lookup) {
+func (m *Model) offer(now time.Time, l *lookup) {
 	if len(l.held) == 0 {
 		// A search without a packet leaves the flow to its caller's next one.
 		delete(m.lookups, l.segment.Tuple)
 		return
 	}
 	for x, r := range l.replies {
-		if r == replyUnsure {
-			l.replies[x] = replyOffered
-			m.stats.Offers++
-			m.send(x, l.held[0], true)
+		if r != replyUnsure {
+			continue
 		}
+		if now.Sub(x.since) > recentLife {
+			if l.offers == maxOffers {
+				continue
+			}
+			l.offers++
+			l.timeout = max(l.timeout, offerTimeout)
+		}
+		l.replies[x] = replyOffered
+		m.stats.Offers++
+		m.send(x, l.held[0], true)
 	}
 }
 
@@ -241,20 +258,17 @@
 // conclude moves a search on once all that were asked have answered. A flow is
 // reset only when no agent of a list that was read after its packet holds it.
 func (m *Model) conclude(now time.Time, l *lookup) {
-	for {
-		if l.count(replyNone) > 0 {
-			return
-		}
-		if l.count(replyUnsure)+l.count(replyOffered) > 0 {
-			m.offer(l)
-			return
-		}
-		if l.reach == reachAll {
-			break
-		}
+	for l.count(replyNone) == 0 && l.reach < reachAll {
 		l.reach++
 		m.widen(m.declared.Routes[routing.Of(l.segment.Tuple)], l)
 	}
+	if l.count(replyNone) > 0 {
+		return
+	}
+	if l.count(replyUnsure)+l.count(replyOffered) > 0 {
+		m.offer(now, l)
+		return
+	}
 	if m.listedAt.Before(l.started) {
 		m.wantList(now)
 		return
--- a/director/member.go
+++ b/director/member.go
@@ -24,6 +24,8 @@
 type member struct {
 	Member
 	report holder.Report
+	// since is when this life of the agent began.
+	since time.Time
 	// life is the last known life of the backend server.
 	life uint64
 	// heard is when the latest report came; zero if none has.
--- a/director/roster.go
+++ b/director/roster.go
@@ -24,6 +24,7 @@
 			Count:  int(x.Flows),
 		})
 	}
+	k.since = now.Add(-x.Uptime)
 	if x.Life != 0 && k.life != 0 && x.Life != k.life {
 		m.verifyMember(k)
 	}
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -87,7 +87,7 @@
 	}
 	e.via = x.From
 	if e.state == entryAccepted {
-		e.state = entryOpen
+		e.open(now)
 	}
 	if x.Segment.Has(segment.Ack) {
 		e.lastAck = x.Segment.Ack
--- a/holder/entry.go
+++ b/holder/entry.go
@@ -36,14 +36,20 @@
 	lastAck uint32
 	// seen is when the latest packet passed.
 	seen time.Time
+	// opened is when the flow was first known to be open here.
+	opened time.Time
 	// asked is when the caller's request went to the backend server; zero while
 	// no request is in work.
 	asked time.Time
 	// answered is when the backend server last sent anything.
-	answered    time.Time
-	callerFin   bool
-	targetFin   bool
-	rebuiltFrom bool
+	answered  time.Time
+	callerFin bool
+	targetFin bool
+}
+
+func (e *entry) open(now time.Time) {
+	e.state = entryOpen
+	e.opened = now
 }
 
 // working reports whether the flow has a request in work.
--- a/holder/model.go
+++ b/holder/model.go
@@ -218,11 +218,17 @@
 	}
 }
 
-// resetAll ends all flows: the backend server that held them is gone.
-func (m *Model) resetAll(cause ResetCause) {
+// resetAll ends the flows of a life of the backend server that was last seen at a
+// time. A flow that opened later may be of the next life, and one that was still
+// opening may have opened elsewhere, with a copy of its first packet; if not, the
+// backend server returns its next packet.
+func (m *Model) resetAll(cause ResetCause, seen time.Time) {
 	n := 0
 	for t, e := range m.flows {
-		if e.state != entryEnded && e.state != entryOffered {
+		if e.state == entryOpen && e.opened.After(seen) {
+			continue
+		}
+		if e.state == entryOpen {
 			m.emit(ResetEffect{
 				Tuple:    t,
 				Sequence: e.lastAck,
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -17,15 +17,14 @@
 	}
 	e := m.flows[x.Segment.Tuple]
 	if e == nil {
-		e = &entry{
-			state: entryOpen,
-		}
+		e = &entry{}
+		e.open(now)
 		m.remember(now, x.Segment.Tuple, e)
 		m.stats.Rebuilt++
 	}
 	e.seen = now
 	e.answered = now
-	m.learn(e, x.Segment)
+	m.learn(now, e, x.Segment)
 	if x.Segment.Length > 0 && e.working() {
 		m.load.end(now, now.Sub(e.asked))
 		e.asked = time.Time{}
@@ -39,7 +38,7 @@
 }
 
 // learn draws from a packet of the backend server what state its flow is in.
-func (m *Model) learn(e *entry, s segment.Segment) {
+func (m *Model) learn(now time.Time, e *entry, s segment.Segment) {
 	switch {
 	case s.SynAck():
 		if e.state == entryOpening {
@@ -47,7 +46,7 @@
 			e.accepted = s.Sequence
 		}
 	case e.state == entryOffered:
-		e.state = entryOpen
+		e.open(now)
 		m.emit(AnswerEffect{
 			To:   e.via,
 			Held: []flow.Tuple{s.Tuple},
--- a/holder/report.go
+++ b/holder/report.go
@@ -25,7 +25,9 @@
 type Report struct {
 	Availability Availability
 	// Life names the present life of the backend server; zero is not known.
-	Life    uint64
+	Life uint64
+	// Uptime is the age of the agent process.
+	Uptime  time.Duration
 	Slots   uint32
 	Flows   uint32
 	Busy    float64
@@ -40,6 +42,7 @@
 	return Report{
 		Availability: m.availability(),
 		Life:         m.life(),
+		Uptime:       now.Sub(m.started),
 		Slots:        m.server.slots,
 		Flows:        uint32(len(m.flows)),
 		Busy:         m.load.busy,
--- a/holder/server.go
+++ b/holder/server.go
@@ -126,7 +126,7 @@
 func (m *Model) newLife(x HeartbeatMsg) {
 	s := &m.server
 	if s.known {
-		m.resetAll(CauseTargetReplaced)
+		m.resetAll(CauseTargetReplaced, s.beatAt)
 		s.fresh = true
 	}
 	m.emit(RecordEffect{
@@ -159,7 +159,7 @@
 	switch x.Result {
 	case ProbeRefused:
 		if !s.gone && (s.known || s.ready || len(m.flows) > 0) {
-			m.resetAll(CauseTargetGone)
+			m.resetAll(CauseTargetGone, s.probedAt)
 		}
 		s.gone = true
 		s.fresh = true
--- a/host/message.go
+++ b/host/message.go
@@ -86,6 +86,7 @@
 				BusyMilli:     uint32(r.Busy * milli),
 				ColdMs:        uint32(r.Cold.Milliseconds()),
 				BackendLife:   r.Life,
+				UptimeMs:      milliseconds(r.Uptime),
 				LatencyMicros: uint32(r.Latency.Microseconds()),
 			},
 		},
@@ -110,6 +111,7 @@
 		},
 		Report: holder.Report{
 			Life:    r.GetBackendLife(),
+			Uptime:  time.Duration(r.GetUptimeMs()) * time.Millisecond,
 			Slots:   r.GetSlots(),
 			Flows:   r.GetFlows(),
 			Busy:    float64(r.GetBusyMilli()) / milli,
