Make the decisions of balancers repeatable, and open agents only when listed

Change: a probe opens an agent only beside an earlier record; members and searches are kept in order, so the same messages have the same effects. Narrowed: flows that came to a life of a backend server before its first heartbeat, beside an agent that was then killed; traced, and left out by the users' rules.

--- a/director/lookup.go
+++ b/director/lookup.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lentilshed/lentilshed/flow"
@@ -13,8 +14,8 @@
 type lookup struct {
 	segment segment.Segment
 	held    [][]byte
-	// replies has every agent that was asked.
-	replies map[*member]reply
+	// replies has every agent that was asked, in the order of asking.
+	replies []answered
 	reach   reach
 	started time.Time
 	// asked is the latest time of asking, and retry the time until the next.
@@ -39,6 +40,22 @@
 	reachAll
 )
 
+// answered is an agent and what it has said.
+type answered struct {
+	member *member
+	reply  reply
+}
+
+// at returns the entry of an agent, or nil if it was not asked.
+func (l *lookup) at(x *member) *answered {
+	for i := range l.replies {
+		if l.replies[i].member == x {
+			return &l.replies[i]
+		}
+	}
+	return nil
+}
+
 // reply is what an agent has said about a flow.
 type reply uint8
 
@@ -60,11 +77,12 @@
 	lookupRetry = 60 * time.Millisecond
 	// lookupTimeout gives a search up; the caller's next packet starts another.
 	lookupTimeout = 1200 * time.Millisecond
-	// recentLife is the time after the start of an agent in which it does not know
+	// recentLife is the time after the start of an agent, less than the 4 s of the
+	// users' rules, in which it does not know
 	// its flows through no plan of anyone's; a search may offer packets to any
 	// number of such agents. Of others, maxOffers get a packet: a third that is
 	// wrong within offerTimeout could lead a live flow astray.
-	recentLife   = 4 * time.Second
+	recentLife   = 3500 * time.Millisecond
 	maxOffers    = 2
 	offerTimeout = 2100 * time.Millisecond
 	// lookupPackets bounds the packets that wait for one search.
@@ -102,21 +120,21 @@
 	}
 	l := &lookup{
 		segment: s,
-		replies: map[*member]reply{},
 		started: now,
 		asked:   now,
 		retry:   lookupRetry,
 		timeout: lookupTimeout,
 	}
 	m.lookups[s.Tuple] = l
+	m.searching = append(m.searching, l)
 	m.stats.Lookups++
 	return l
 }
 
 // widen asks the agents within the reach of a search that were not asked yet.
 func (m *Model) widen(r routing.Route, l *lookup) {
-	for _, x := range m.members {
-		if _, ok := l.replies[x]; !ok && m.within(r, l.reach, x) {
+	for _, x := range m.order {
+		if l.at(x) == nil && m.within(r, l.reach, x) {
 			m.ask(x, l)
 		}
 	}
@@ -133,8 +151,10 @@
 }
 
 func (m *Model) ask(x *member, l *lookup) {
-	if _, ok := l.replies[x]; !ok {
-		l.replies[x] = replyNone
+	if l.at(x) == nil {
+		l.replies = append(l.replies, answered{
+			member: x,
+		})
 	}
 	x.queries = append(x.queries, holder.Probe{
 		Tuple: l.segment.Tuple,
@@ -146,7 +166,7 @@
 // flush sends the collected questions.
 func (m *Model) flush() {
 	m.queued = false
-	for _, x := range m.members {
+	for _, x := range m.order {
 		for len(x.queries) > 0 {
 			n := min(len(x.queries), maxQuery)
 			m.emit(QueryEffect{
@@ -173,17 +193,32 @@
 	}
 	for _, t := range x.Unheld {
 		if l := m.lookups[t]; l != nil {
-			l.replies[from] = replyUnheld
-			m.conclude(now, l)
+			m.replied(now, l, from, replyUnheld)
 		}
 	}
 	for _, t := range x.Unsure {
 		l := m.lookups[t]
-		if l != nil && l.replies[from] == replyNone {
-			l.replies[from] = replyUnsure
-			m.conclude(now, l)
+		if l == nil {
+			continue
 		}
+		if a := l.at(from); a != nil && a.reply == replyNone {
+			m.replied(now, l, from, replyUnsure)
+		}
+	}
+}
+
+// replied takes what an agent has said about one flow.
+func (m *Model) replied(now time.Time, l *lookup, from *member, r reply) {
+	a := l.at(from)
+	if a == nil {
+		l.replies = append(l.replies, answered{
+			member: from,
+			reply:  r,
+		})
+	} else {
+		a.reply = r
 	}
+	m.conclude(now, l)
 }
 
 // found ends the search for a flow and sends its packets there.
@@ -203,7 +238,7 @@
 	m.stats.Found++
 	h.ack = l.segment.Ack
 	h.opened = true
-	if l.replies[x] == replyOffered && len(l.held) > 0 {
+	if a := l.at(x); a != nil && a.reply == replyOffered && len(l.held) > 0 {
 		l.held = l.held[1:]
 	}
 	for _, b := range l.held {
@@ -219,8 +254,10 @@
 		delete(m.lookups, l.segment.Tuple)
 		return
 	}
-	for x, r := range l.replies {
-		if r != replyUnsure {
+	for i := range l.replies {
+		a := &l.replies[i]
+		x := a.member
+		if a.reply != replyUnsure {
 			continue
 		}
 		if now.Sub(x.since) > recentLife {
@@ -230,7 +267,7 @@
 			l.offers++
 			l.timeout = max(l.timeout, offerTimeout)
 		}
-		l.replies[x] = replyOffered
+		a.reply = replyOffered
 		m.stats.Offers++
 		m.send(x, l.held[0], true)
 	}
@@ -250,8 +287,7 @@
 		l = m.lookups[x.Segment.Tuple]
 	}
 	if l != nil {
-		l.replies[from] = replyUnheld
-		m.conclude(now, l)
+		m.replied(now, l, from, replyUnheld)
 	}
 }
 
@@ -280,8 +316,8 @@
 
 func (l *lookup) count(x reply) int {
 	n := 0
-	for _, r := range l.replies {
-		if r == x {
+	for _, a := range l.replies {
+		if a.reply == x {
 			n++
 		}
 	}
@@ -300,10 +336,14 @@
 
 // tickLookups repeats questions and gives searches up.
 func (m *Model) tickLookups(now time.Time) {
-	for t, l := range m.lookups {
+	m.searching = slices.DeleteFunc(m.searching, func(l *lookup) bool {
+		return m.lookups[l.segment.Tuple] != l
+	})
+	for _, l := range slices.Clone(m.searching) {
 		switch {
+		case m.lookups[l.segment.Tuple] != l:
 		case now.Sub(l.started) > l.timeout:
-			delete(m.lookups, t)
+			delete(m.lookups, l.segment.Tuple)
 			m.stats.LookupsTimedOut++
 			m.noteTimeout(l)
 		case now.Sub(l.asked) > l.retry:
@@ -315,16 +355,17 @@
 }
 
 func (m *Model) repeat(now time.Time, l *lookup) {
-	for x, r := range l.replies {
-		switch {
-		case m.members[x.Name] != x:
-			delete(l.replies, x)
-		case r == replyOffered:
+	l.replies = slices.DeleteFunc(l.replies, func(a answered) bool {
+		return m.members[a.member.Name] != a.member
+	})
+	for i := range l.replies {
+		a := &l.replies[i]
+		if a.reply == replyOffered {
 			// Asked again, the agent answers, or the packet is handed over again.
-			l.replies[x] = replyNone
-			m.ask(x, l)
-		case r != replyUnheld:
-			m.ask(x, l)
+			a.reply = replyNone
+		}
+		if a.reply != replyUnheld {
+			m.ask(a.member, l)
 		}
 	}
 	m.conclude(now, l)
@@ -336,9 +377,9 @@
 		Event: "no certain answer where the flow lives",
 		Flow:  l.segment.Tuple,
 	}
-	for x, r := range l.replies {
-		if r != replyUnheld {
-			n.Member = x.Name
+	for _, a := range l.replies {
+		if a.reply != replyUnheld {
+			n.Member = a.member.Name
 			n.Count++
 		}
 	}
--- a/director/restore.go
+++ b/director/restore.go
@@ -1,6 +1,8 @@
 package director
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/lentilshed/lentilshed/flow"
@@ -58,24 +60,28 @@
 // verifyMember searches for the flows that were at a member whose backend
 // server has started anew.
 func (m *Model) verifyMember(k *member) {
-	n := 0
+	var l []Remembered
 	for t, h := range m.hints {
 		if h.member != k {
 			continue
 		}
 		delete(m.hints, t)
 		if h.opened && !h.closing {
-			n++
-			m.unverified = append(m.unverified, Remembered{
+			l = append(l, Remembered{
 				Tuple: t,
 				Ack:   h.ack,
 			})
 		}
 	}
+	// The order of a map is random; the same messages shall have the same effects.
+	slices.SortFunc(l, func(a, b Remembered) int {
+		return cmp.Compare(a.Tuple.Hash(0), b.Tuple.Hash(0))
+	})
+	m.unverified = append(m.unverified, l...)
 	m.emit(NoteEffect{
 		Event:  "backend server started anew, looking for its flows",
 		Member: k.Name,
-		Count:  n,
+		Count:  len(l),
 	})
 }
 
--- a/director/roster.go
+++ b/director/roster.go
@@ -50,20 +50,24 @@
 	}
 	m.members[x.Name] = k
 	m.byAddr[x.Address] = k
-	l := append(m.services[x.Service], k)
-	slices.SortFunc(l, func(a, b *member) int {
+	m.services[x.Service] = insertByName(m.services[x.Service], k)
+	m.order = insertByName(m.order, k)
+	return k
+}
+
+func insertByName(l []*member, k *member) []*member {
+	i, _ := slices.BinarySearchFunc(l, k, func(a, b *member) int {
 		return strings.Compare(a.Name, b.Name)
 	})
-	m.services[x.Service] = l
-	return k
+	return slices.Insert(l, i, k)
 }
 
 func (m *Model) remove(k *member) {
 	delete(m.members, k.Name)
 	delete(m.byAddr, k.Address)
-	m.services[k.Service] = slices.DeleteFunc(m.services[k.Service], func(x *member) bool {
-		return x == k
-	})
+	same := func(x *member) bool { return x == k }
+	m.services[k.Service] = slices.DeleteFunc(m.services[k.Service], same)
+	m.order = slices.DeleteFunc(m.order, same)
 	for t, h := range m.hints {
 		if h.member == k {
 			delete(m.hints, t)
@@ -94,7 +98,10 @@
 		m.listedAt = x.Asked
 	}
 	m.sweepMembers(now)
-	for _, l := range m.lookups {
+	for _, l := range slices.Clone(m.searching) {
+		if m.lookups[l.segment.Tuple] != l {
+			continue
+		}
 		m.widen(m.declared.Routes[routing.Of(l.segment.Tuple)], l)
 		m.conclude(now, l)
 	}
@@ -102,7 +109,7 @@
 
 // sweepMembers forgets silent agents that are not registered any more.
 func (m *Model) sweepMembers(now time.Time) {
-	for _, k := range m.members {
+	for _, k := range slices.Clone(m.order) {
 		if !k.listed && now.Sub(k.heard) > unlistedLimit && !m.listedAt.IsZero() {
 			m.emit(NoteEffect{
 				Event:  "agent is forgotten",
--- a/holder/report.go
+++ b/holder/report.go
@@ -61,10 +61,14 @@
 	return AvailabilityDown
 }
 
-// mayOpen reports whether the present life is recorded, or has only been seen
-// by a probe yet.
+// mayOpen reports whether balancers can know of this agent: the present life is
+// recorded, or has only been seen by a probe yet beside an earlier record. A flow
+// at an agent that nobody can list might be taken for dead.
 func (s *server) mayOpen() bool {
-	return !s.known || s.recorded == s.born
+	if s.known {
+		return s.recorded == s.born
+	}
+	return s.earlierKnown && s.earlier != 0
 }
 
 // Ended reports whether the backend server has said farewell or is gone.
