--- /dev/null
+++ b/holder/script_test.go
@@ -0,0 +1,237 @@
+package holder_test
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/segment"
+	"github.com/lentilshed/lentilshed/target"
+	"github.com/stretchr/testify/require"
+)
+
+const scriptService = "boards"
+
+var scriptBalancer = netip.MustParseAddrPort("10.1.0.10:7720")
+
+// script runs the commands of a data file against one model.
+type script struct {
+	model *holder.Model
+	now   time.Time
+}
+
+func newScript() *script {
+	now := time.Unix(1_800_000_000, 0)
+	return &script{
+		model: holder.NewModel(holder.Config{
+			Service: scriptService,
+		}, now),
+		now: now,
+	}
+}
+
+// TestScripts plays the data files: each command is a message, and the answer
+// is the effects.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newScript()
+		datadriven.RunTest(t, path, func(t *testing.T, x *datadriven.TestData) string {
+			return s.run(t, x)
+		})
+	})
+}
+
+func (s *script) run(t *testing.T, x *datadriven.TestData) string {
+	switch x.Cmd {
+	case "wait":
+		d, err := time.ParseDuration(x.CmdArgs[0].Key)
+		require.NoError(t, err)
+		return s.wait(d)
+	case "rush":
+		return s.rush(number(t, x, "from"), number(t, x, "flows"))
+	}
+	return s.update(s.message(t, x))
+}
+
+// wait lets ticks pass and prints what they did.
+func (s *script) wait(d time.Duration) string {
+	var b strings.Builder
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(50 * time.Millisecond)
+		b.WriteString(s.update(holder.TickMsg{}))
+	}
+	return b.String()
+}
+
+// rush offers many new flows at once and counts the answers.
+func (s *script) rush(from, n int) string {
+	taken := 0
+	reasons := map[holder.RejectReason]int{}
+	for i := range n {
+		for _, e := range s.model.Update(s.now, holder.DeliverMsg{
+			From:    scriptBalancer,
+			Service: scriptService,
+			Segment: segment.Segment{
+				Tuple: scriptFlow(from + i),
+				Flags: segment.Syn,
+			},
+		}) {
+			switch y := e.(type) {
+			case holder.ToTargetEffect:
+				taken++
+			case holder.RejectEffect:
+				reasons[y.Reason]++
+			}
+		}
+	}
+	return fmt.Sprintf("taken %d refused %v\n", taken, reasons)
+}
+
+func scriptFlow(n int) flow.Tuple {
+	return flow.Tuple{
+		Caller:      0x64400001,
+		Address:     0xc6120001,
+		CallerPort:  uint16(n),
+		AddressPort: 443,
+	}
+}
+
+func (s *script) message(t *testing.T, x *datadriven.TestData) holder.Msg {
+	switch x.Cmd {
+	case "heartbeat":
+		return holder.HeartbeatMsg{
+			ID:       "i-1",
+			Born:     uint64(number(t, x, "born")),
+			Sequence: uint64(number(t, x, "seq")),
+			Draining: x.HasArg("draining"),
+			Slots:    3,
+			Cold:     time.Duration(number(t, x, "cold_ms")) * time.Millisecond,
+		}
+	case "deregister":
+		return holder.DeregisterMsg{
+			ID: target.ID("i-1"),
+		}
+	case "record":
+		return holder.RecordMsg{
+			Born: uint64(number(t, x, "born")),
+		}
+	case "recorded":
+		return holder.RecordedMsg{
+			Born: uint64(number(t, x, "born")),
+		}
+	case "config":
+		return holder.ConfigMsg{
+			ColdRate:    float64(number(t, x, "cold_rate")),
+			MaxFlows:    number(t, x, "max"),
+			IdleTimeout: 15 * time.Second,
+		}
+	case "probe":
+		return holder.ProbeMsg{
+			Result: probeResults[x.CmdArgs[0].Key],
+		}
+	case "woken":
+		return holder.WokenMsg{}
+	case "stop":
+		return holder.StopMsg{}
+	case "query":
+		return holder.QueryMsg{
+			From: scriptBalancer,
+			Flows: []holder.Probe{
+				{
+					Tuple: scriptFlow(number(t, x, "flow")),
+					Ack:   uint32(number(t, x, "upto")),
+				},
+			},
+		}
+	case "server":
+		return holder.OutboundMsg{
+			Segment: scriptSegment(t, x),
+		}
+	}
+	m := holder.DeliverMsg{
+		From:    scriptBalancer,
+		Service: scriptService,
+		Offer:   x.HasArg("offer"),
+		Segment: scriptSegment(t, x),
+	}
+	if x.HasArg("other_service") {
+		m.Service = "layouts"
+	}
+	return m
+}
+
+var probeResults = map[string]holder.ProbeResult{
+	"ready":   holder.ProbeReady,
+	"alive":   holder.ProbeAlive,
+	"refused": holder.ProbeRefused,
+	"silent":  holder.ProbeSilent,
+}
+
+func scriptSegment(t *testing.T, x *datadriven.TestData) segment.Segment {
+	s := segment.Segment{
+		Tuple:    scriptFlow(number(t, x, "flow")),
+		Sequence: uint32(number(t, x, "seq")),
+		Ack:      uint32(number(t, x, "upto")),
+		Length:   uint16(number(t, x, "len")),
+	}
+	for name, f := range map[string]segment.Flags{
+		"syn":      segment.Syn,
+		"ack":      segment.Ack,
+		"fin":      segment.Fin,
+		"rst":      segment.Rst,
+		"returned": segment.Undeliverable,
+	} {
+		if x.HasArg(name) {
+			s.Flags |= f
+		}
+	}
+	return s
+}
+
+func number(t *testing.T, x *datadriven.TestData, key string) int {
+	n := 0
+	if x.HasArg(key) {
+		x.MaybeScanArgs(t, key, &n)
+	}
+	return n
+}
+
+func (s *script) update(m holder.Msg) string {
+	var b strings.Builder
+	for _, e := range s.model.Update(s.now, m) {
+		fmt.Fprintln(&b, describe(e))
+		if _, ok := e.(holder.ReportEffect); ok {
+			s.model.Report(s.now)
+		}
+	}
+	return b.String()
+}
+
+func describe(e holder.Effect) string {
+	switch x := e.(type) {
+	case holder.ToTargetEffect:
+		return "to backend server"
+	case holder.ToCallerEffect:
+		return fmt.Sprintf("to caller %d", x.Segment.Tuple.CallerPort)
+	case holder.ResetEffect:
+		return fmt.Sprintf("reset %d at %d: %s", x.Tuple.CallerPort, x.Sequence, x.Cause)
+	case holder.RejectEffect:
+		return "reject: " + x.Reason.String()
+	case holder.AnswerEffect:
+		return fmt.Sprintf("answer: held %d unheld %d unsure %d", len(x.Held), len(x.Unheld), len(x.Unsure))
+	case holder.ReportEffect:
+		return "report"
+	case holder.RecordEffect:
+		return fmt.Sprintf("record %d", x.Born)
+	case holder.ProbeEffect:
+		return fmt.Sprintf("probe, health %v", x.Health)
+	case holder.NoteEffect:
+		return "note: " + x.Event
+	}
+	return fmt.Sprintf("%T", e)
+}
--- a/holder/server.go
+++ b/holder/server.go
@@ -129,9 +129,13 @@
 		m.resetAll(CauseTargetReplaced, s.beatAt)
 		s.fresh = true
 	}
-	m.emit(RecordEffect{
-		Born: x.Born,
-	})
+	if s.earlierKnown && s.earlier == x.Born {
+		s.recorded = x.Born
+	} else {
+		m.emit(RecordEffect{
+			Born: x.Born,
+		})
+	}
 	m.emit(NoteEffect{
 		Event: "backend server " + string(x.ID) + " announced itself",
 		Count: len(m.flows),
--- a/host/agent.go
+++ b/host/agent.go
@@ -41,9 +41,6 @@
 	out       []byte
 	service   relay.ServiceID
 	probing   atomic.Bool
-	// registered is set once this agent is in the registry, or has tried for
-	// long enough.
-	registered atomic.Bool
 	// lives has the lives of the backend server that are to be recorded; lifeAt
 	// is when the latest was taken from there.
 	lives      chan uint64
--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -73,7 +73,6 @@
 	err := a.config.Registry.RegisterAgent(c, a.member(), born)
 	cancel()
 	if err == nil || time.Since(a.lifeAt) > registerPatience {
-		a.registered.Store(true)
 		a.update(holder.RecordedMsg{
 			Born: born,
 		})
--- /dev/null
+++ b/relay/codec_test.go
@@ -0,0 +1,63 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/relay"
+	"github.com/stretchr/testify/require"
+)
+
+func ExampleAppendDeliver() {
+	b := relay.AppendDeliver(nil, relay.Deliver{
+		Service: relay.NewServiceID("boards"),
+		Offer:   true,
+	}, []byte("packet"))
+	h, p, err := relay.ParseDeliver(b)
+	fmt.Println(h.Service == relay.NewServiceID("boards"), h.Offer, string(p), err)
+	// Output: true true packet <nil>
+}
+
+func TestRejectAndControl(t *testing.T) {
+	r, p, err := relay.ParseReject(relay.AppendReject(nil, 4, []byte("packet")))
+	require.NoError(t, err)
+	require.Equal(t, uint8(4), r)
+	require.Equal(t, "packet", string(p))
+	f := flow.Tuple{
+		Caller:      1,
+		Address:     2,
+		CallerPort:  3,
+		AddressPort: 4,
+	}
+	b, err := relay.AppendControl(nil, &controlpb.Datagram{
+		Body: &controlpb.Datagram_Answer{
+			Answer: &controlpb.FlowAnswer{
+				Held: relay.EncodeFlows([]flow.Tuple{f}),
+			},
+		},
+	})
+	require.NoError(t, err)
+	d, err := relay.ParseControl(b)
+	require.NoError(t, err)
+	require.Equal(t, []flow.Tuple{f}, relay.DecodeFlows(d.GetAnswer().GetHeld()))
+}
+
+// FuzzParse feeds datagrams of anyone: they are refused or read, never a crash.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte{0xd1, 0, 1, 2, 3, 4, 5})
+	f.Add([]byte{0xd2})
+	f.Add([]byte{0xd3, 0x0a, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, _, err := relay.ParseDeliver(b); err != nil {
+			require.ErrorIs(t, err, relay.ErrMalformed)
+		}
+		if _, _, err := relay.ParseReject(b); err != nil {
+			require.ErrorIs(t, err, relay.ErrMalformed)
+		}
+		if _, err := relay.ParseControl(b); err != nil {
+			require.ErrorIs(t, err, relay.ErrMalformed)
+		}
+	})
+}
