--- a/holder/server.go
+++ b/holder/server.go
@@ -72,7 +72,7 @@
 		if x.Sequence <= s.sequence {
 			return
 		}
-	case x.Born <= s.born && now.Sub(s.beatAt) < staleBornLimit:
+	case x.Born != 0 && x.Born <= s.born && now.Sub(s.beatAt) < staleBornLimit:
 		m.stats.StaleHeartbeats++
 		return
 	default:
--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -110,6 +110,11 @@
 		}
 		a.report(now)
 		a.mu.Unlock()
+		if len(l) == 0 {
+			// Everything starts at once; balancers are about to register.
+			pause(ctx, callPause)
+			continue
+		}
 		pause(ctx, balancersPeriod)
 	}
 }
--- a/host/balancer.go
+++ b/host/balancer.go
@@ -74,6 +74,8 @@
 	flushDelay = 2 * time.Millisecond
 	// listPeriod is the time between two cached lists of agents.
 	listPeriod = 5 * time.Second
+	// emptyListPeriod is that time while no agent is known.
+	emptyListPeriod = 500 * time.Millisecond
 	// callTimeout bounds one call of the registry.
 	callTimeout = 800 * time.Millisecond
 	// callPause is the time between failed calls.
@@ -318,7 +320,11 @@
 
 // waitList reports whether a fresh list is wanted.
 func (b *Balancer) waitList(ctx context.Context) bool {
-	t := time.NewTimer(listPeriod)
+	period := listPeriod
+	if b.Stats().Members == 0 {
+		period = emptyListPeriod
+	}
+	t := time.NewTimer(period)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
