--- a/cmd/lentilshed/passing.go
+++ b/cmd/lentilshed/passing.go
@@ -21,6 +21,7 @@
 	"github.com/lentilshed/lentilshed/telemetry"
 	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -40,7 +41,11 @@
 	bounded  telemetry.Bounded
 	servers  []*http.Server
 	registry host.Registry
-	stop     func()
+	metrics  *telemetry.Metrics
+	admin    *telemetry.Admin
+	// gauges updates the metrics, and stop ends the process.
+	gauges func(tally.Scope)
+	stop   func()
 }
 
 func newPassingCommand(out io.Writer) *cobra.Command {
@@ -79,6 +84,9 @@
 	if err := p.start(); err != nil {
 		return err
 	}
+	if err := p.serveMetrics(); err != nil {
+		return err
+	}
 	p.log.Info().Str("failure_domain", p.settings.Domain).Str("service", p.settings.Service).Msg("started")
 	p.waitForStop(path, signals)
 	p.log.Info().Msg("stopping")
@@ -143,6 +151,7 @@
 		return errors.Wrap(err, "start balancer")
 	}
 	p.stop = b.Stop
+	p.gauges = func(c tally.Scope) { balancerMetrics(c, b.Stats()) }
 	return p.listen(platform.NewBalancerHandler(b), s.Ready, s.Calls)
 }
 
@@ -178,6 +187,7 @@
 		return errors.Wrap(err, "start agent")
 	}
 	p.stop = a.Stop
+	p.gauges = func(c tally.Scope) { agentMetrics(c, a.Stats()) }
 	h := platform.NewAgentHandler(a, backend, func(event, name string) {
 		p.note(host.Note{
 			Event:  event,
--- /dev/null
+++ b/cmd/lentilshed/passing_metrics.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/telemetry"
+	"github.com/uber-go/tally/v4"
+)
+
+// metricsPeriod is the time between two updates of the metrics.
+const metricsPeriod = 2 * time.Second
+
+// serveMetrics serves counters at the metrics address, if there is one.
+func (p *passing) serveMetrics() error {
+	if p.settings.Metrics == "" {
+		return nil
+	}
+	p.metrics = telemetry.NewMetrics(p.settings.Role, p.settings.Name)
+	a, err := telemetry.NewAdmin(p.settings.Metrics, p.metrics.Handler, func() error { return nil })
+	if err != nil {
+		return err
+	}
+	p.admin = a
+	go func() {
+		t := time.NewTicker(metricsPeriod)
+		defer t.Stop()
+		for range t.C {
+			p.gauges(p.metrics.Scope)
+		}
+	}()
+	return nil
+}
+
+func balancerMetrics(c tally.Scope, s director.Stats) {
+	gauge(c, "packets_delivered", s.Delivered)
+	gauge(c, "flows_placed", s.Placed)
+	gauge(c, "flows_refused", s.Refused)
+	gauge(c, "packets_returned", s.Rejected)
+	gauge(c, "flows_reset", s.Reset)
+	gauge(c, "packets_forged", s.Forged)
+	gauge(c, "packets_without_config", s.NoConfig)
+	gauge(c, "searches", s.Lookups)
+	gauge(c, "searches_dropped", s.LookupsDropped)
+	gauge(c, "searches_timed_out", s.LookupsTimedOut)
+	gauge(c, "searches_found", s.Found)
+	gauge(c, "searches_unheld", s.Unheld)
+	gauge(c, "packets_offered", s.Offers)
+	gauge(c, "flows_verified", s.Verified)
+	gauge(c, "agent_lists", s.Lists)
+	c.Gauge("flows_known").Update(float64(s.Hints))
+	c.Gauge("agents_known").Update(float64(s.Members))
+}
+
+func agentMetrics(c tally.Scope, s holder.Stats) {
+	gauge(c, "flows_opened", s.Opened)
+	gauge(c, "flows_rebuilt", s.Rebuilt)
+	gauge(c, "packets_offered", s.Offered)
+	gauge(c, "packets_returned", s.Returned)
+	gauge(c, "packets_to_backend", s.ToTarget)
+	gauge(c, "packets_to_callers", s.ToCaller)
+	gauge(c, "packets_forged", s.Forged)
+	gauge(c, "flows_evicted", s.Evicted)
+	gauge(c, "flows_reset", s.Reset)
+	gauge(c, "probes", s.Probes)
+	gauge(c, "heartbeats_stale", s.StaleHeartbeats)
+	c.Gauge("flows_open").Update(float64(s.Open))
+	for r, n := range s.Rejected {
+		if r > 0 {
+			gauge(c.Tagged(map[string]string{"reason": holder.RejectReason(r).String()}), "packets_rejected", n)
+		}
+	}
+	total := uint64(0)
+	for i, n := range s.Answers {
+		total += n
+		le := "+Inf"
+		if i < len(holder.LatencyBounds) {
+			le = holder.LatencyBounds[i].String()
+		}
+		gauge(c.Tagged(map[string]string{"le": le}), "answer_latency_bucket", total)
+	}
+}
+
+func gauge(c tally.Scope, name string, n uint64) {
+	c.Gauge(name).Update(float64(n))
+}
--- a/holder/model.go
+++ b/holder/model.go
@@ -133,7 +133,9 @@
 
 // Stats returns the counters so far.
 func (m *Model) Stats() Stats {
-	return m.stats
+	s := m.stats
+	s.Open = len(m.flows)
+	return s
 }
 
 func (m *Model) emit(e Effect) {
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -27,6 +27,7 @@
 	m.learn(now, e, x.Segment)
 	if x.Segment.Length > 0 && e.working() {
 		m.load.end(now, now.Sub(e.asked))
+		m.stats.answered(now.Sub(e.asked))
 		e.asked = time.Time{}
 	}
 	m.endOf(e, x.Segment, &e.targetFin)
