Let an agent that has ended leave the searches at once

Change: the last report of such an agent says that it has ended; balancers drop it and do not take it back from an older list. Tests: director/search_test.go, also for resets, silence, refusals, readiness and restored flows.

--- a/director/lookup.go
+++ b/director/lookup.go
@@ -354,10 +354,15 @@
 	}
 }
 
-func (m *Model) repeat(now time.Time, l *lookup) {
+// dropGone leaves agents out of a search that are not known any more.
+func (m *Model) dropGone(l *lookup) {
 	l.replies = slices.DeleteFunc(l.replies, func(a answered) bool {
 		return m.members[a.member.Name] != a.member
 	})
+}
+
+func (m *Model) repeat(now time.Time, l *lookup) {
+	m.dropGone(l)
 	for i := range l.replies {
 		a := &l.replies[i]
 		if a.reply == replyOffered {
--- a/director/model.go
+++ b/director/model.go
@@ -36,6 +36,8 @@
 	outsRev  uint64
 	members  map[string]*member
 	byAddr   map[netip.AddrPort]*member
+	// ended are agents that have said that they end, by name.
+	ended map[string]ending
 	// order has the members by name, and searching the lookups by age.
 	order     []*member
 	searching []*lookup
@@ -77,6 +79,7 @@
 		out:      map[string]bool{},
 		members:  map[string]*member{},
 		byAddr:   map[netip.AddrPort]*member{},
+		ended:    map[string]ending{},
 		services: map[string][]*member{},
 		hints:    map[flow.Tuple]*hint{},
 		lookups:  map[flow.Tuple]*lookup{},
--- a/director/roster.go
+++ b/director/roster.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/lentilshed/lentilshed/holder"
 	"github.com/lentilshed/lentilshed/routing"
 )
 
@@ -14,6 +15,13 @@
 	if k != nil && !k.supersedes(now, x.Member) {
 		return
 	}
+	if x.Availability == holder.AvailabilityEnded {
+		m.end(now, k, x.Member)
+		return
+	}
+	if e, ok := m.ended[x.Member.Name]; ok && e.incarnation == x.Member.Incarnation {
+		return
+	}
 	if k == nil || k.Address != x.Member.Address || k.Service != x.Member.Service {
 		k = m.add(x.Member)
 	}
@@ -37,6 +45,38 @@
 	k.placed = 0
 }
 
+// ending is an agent that has said that it ends.
+type ending struct {
+	incarnation uint64
+	at          time.Time
+}
+
+// endingMemory is longer than a list of agents may be old.
+const endingMemory = 15 * time.Second
+
+// end forgets an agent whose backend server has ended before it: searches need
+// no answer from it.
+func (m *Model) end(now time.Time, k *member, x Member) {
+	m.ended[x.Name] = ending{
+		incarnation: x.Incarnation,
+		at:          now,
+	}
+	if k == nil {
+		return
+	}
+	m.emit(NoteEffect{
+		Event:  "agent has ended",
+		Member: x.Name,
+	})
+	m.remove(k)
+	for _, l := range slices.Clone(m.searching) {
+		if m.lookups[l.segment.Tuple] == l {
+			m.dropGone(l)
+			m.conclude(now, l)
+		}
+	}
+}
+
 // add makes an agent known, in the place of any other at its address.
 func (m *Model) add(x Member) *member {
 	if k := m.members[x.Name]; k != nil {
@@ -82,6 +122,9 @@
 		k.listed = false
 	}
 	for _, y := range x.Members {
+		if _, ok := m.ended[y.Name]; ok {
+			continue
+		}
 		k := m.members[y.Name]
 		if k == nil || (k.heard.IsZero() && (k.Address != y.Address || k.Service != y.Service)) {
 			if o := m.byAddr[y.Address]; o != nil && !o.heard.IsZero() {
@@ -109,6 +152,11 @@
 
 // sweepMembers forgets silent agents that are not registered any more.
 func (m *Model) sweepMembers(now time.Time) {
+	for n, e := range m.ended {
+		if now.Sub(e.at) > endingMemory {
+			delete(m.ended, n)
+		}
+	}
 	for _, k := range slices.Clone(m.order) {
 		if !k.listed && now.Sub(k.heard) > unlistedLimit && !m.listedAt.IsZero() {
 			m.emit(NoteEffect{
--- /dev/null
+++ b/director/search_test.go
@@ -0,0 +1,247 @@
+package director_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/placement"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/segment"
+	"github.com/stretchr/testify/require"
+)
+
+// desk is one balancer with two agents that it has heard.
+type desk struct {
+	model *director.Model
+	now   time.Time
+}
+
+func newDesk() *desk {
+	d := &desk{
+		now: time.Unix(1_800_000_000, 0),
+	}
+	d.model = director.NewModel(director.Config{
+		Domain:    "domain-a",
+		Placement: placement.DefaultConfig(),
+	}, d.now)
+	d.model.Update(d.now, director.ConfigMsg{
+		Config: &routing.Config{
+			Version: 1,
+			Routes: map[routing.Address]routing.Route{
+				worldAddress: {
+					Shares: []routing.Share{
+						{
+							Service: worldService,
+							Weight:  1,
+						},
+					},
+				},
+			},
+		},
+	})
+	d.report(1, holder.AvailabilityOpen)
+	d.report(2, holder.AvailabilityOpen)
+	return d
+}
+
+func deskMember(n int) director.Member {
+	return director.Member{
+		Name:        string(rune('a' + n)),
+		Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(n)}), 8172),
+		Service:     worldService,
+		Domain:      "domain-a",
+		Incarnation: 1,
+	}
+}
+
+func (d *desk) report(n int, a holder.Availability) []director.Effect {
+	m := deskMember(n)
+	m.Sequence = uint64(d.now.UnixMilli())
+	return d.model.Update(d.now, director.ReportMsg{
+		Member: m,
+		Report: holder.Report{
+			Availability: a,
+			Slots:        5,
+		},
+	})
+}
+
+func (d *desk) list(n ...int) []director.Effect {
+	var l []director.Member
+	for _, x := range n {
+		l = append(l, deskMember(x))
+	}
+	return d.model.Update(d.now, director.MembersMsg{
+		Members: l,
+		Asked:   d.now,
+	})
+}
+
+var deskFlow = flow.Tuple{
+	Caller:      0x64400001,
+	CallerPort:  4001,
+	Address:     worldAddress.Host,
+	AddressPort: worldAddress.Port,
+}
+
+func (d *desk) packet() []director.Effect {
+	s := segment.Segment{
+		Tuple: deskFlow,
+		Flags: segment.Ack,
+		Ack:   700,
+	}
+	return d.model.Update(d.now, director.PacketMsg{
+		Segment: s,
+		Data:    encodePacket(s),
+	})
+}
+
+func (d *desk) unheld(n int) []director.Effect {
+	return d.model.Update(d.now, director.AnswerMsg{
+		From:   deskMember(n).Address,
+		Unheld: []flow.Tuple{deskFlow},
+	})
+}
+
+// wait lets time pass and returns what ticks did.
+func (d *desk) wait(t time.Duration) []director.Effect {
+	d.now = d.now.Add(t)
+	return d.model.Update(d.now, director.TickMsg{})
+}
+
+var deskReset = director.ResetEffect{
+	Tuple:    deskFlow,
+	Sequence: 700,
+	Cause:    director.CauseNotHeld,
+}
+
+// TestResetNeedsEveryAnswerAndAFreshList holds a flow that nobody knows until
+// every agent has said no, those of a list that is newer than the packet too.
+func TestResetNeedsEveryAnswerAndAFreshList(t *testing.T) {
+	d := newDesk()
+	d.list(1, 2)
+	d.wait(time.Millisecond)
+	require.NotContains(t, d.packet(), deskReset)
+	require.NotContains(t, d.unheld(1), deskReset)
+	require.Contains(t, d.unheld(2), director.ListEffect{})
+	require.NotContains(t, d.list(1, 2, 3), deskReset, "the list has brought another agent")
+	require.Contains(t, d.unheld(3), deskReset)
+}
+
+// TestSilentAgentMayHoldTheFlow lets one agent stay silent: the flow is not
+// reset, and the search ends.
+func TestSilentAgentMayHoldTheFlow(t *testing.T) {
+	d := newDesk()
+	d.list(1, 2)
+	d.packet()
+	d.unheld(1)
+	for range 60 {
+		require.NotContains(t, d.wait(50*time.Millisecond), deskReset)
+	}
+	require.Equal(t, uint64(1), d.model.Stats().LookupsTimedOut)
+}
+
+// TestEndedAgentLeavesSearches is the incident of 4 December: an agent that had
+// stopped after its backend server kept searches from ending for five seconds,
+// and an older list brought it back.
+func TestEndedAgentLeavesSearches(t *testing.T) {
+	d := newDesk()
+	d.list(1, 2)
+	d.wait(time.Millisecond)
+	d.packet()
+	d.list(1, 2)
+	d.unheld(1)
+	require.Contains(t, d.report(2, holder.AvailabilityEnded), deskReset)
+	d.wait(time.Millisecond)
+	d.list(1, 2)
+	d.packet()
+	require.Contains(t, append(d.unheld(1), d.list(1, 2)...), deskReset)
+}
+
+// TestUnknownFlowOfARemovedRouteIsReset needs no search.
+func TestUnknownFlowOfARemovedRouteIsReset(t *testing.T) {
+	d := newDesk()
+	d.model.Update(d.now, director.ConfigMsg{
+		Config: &routing.Config{
+			Version: 2,
+		},
+	})
+	require.Contains(t, d.packet(), director.ResetEffect{
+		Tuple:    deskFlow,
+		Sequence: 700,
+		Cause:    director.CauseNoRoute,
+	})
+	d.model.Update(d.now, director.ConfigMsg{
+		Config: &routing.Config{
+			Version: 1,
+		},
+	})
+	require.Equal(t, routing.Version(2), d.model.Version(), "an older version is ignored")
+}
+
+// TestCutOffBalancerIsNotReady hears no agent for a second.
+func TestCutOffBalancerIsNotReady(t *testing.T) {
+	d := newDesk()
+	d.list(1, 2)
+	require.True(t, d.model.Ready(d.now))
+	d.wait(time.Second)
+	require.False(t, d.model.Ready(d.now))
+	d.report(1, holder.AvailabilityOpen)
+	require.True(t, d.model.Ready(d.now))
+}
+
+// TestFlowsOfAnEarlierProcessAreLookedFor restores a flow that has died: its
+// caller is told without having sent anything.
+func TestFlowsOfAnEarlierProcessAreLookedFor(t *testing.T) {
+	d := newDesk()
+	d.model.Update(d.now, director.RestoreMsg{
+		Flows: []director.Remembered{
+			{
+				Tuple: deskFlow,
+				Ack:   700,
+			},
+		},
+	})
+	d.wait(400 * time.Millisecond)
+	d.list(1, 2)
+	d.unheld(1)
+	require.Contains(t, append(d.unheld(2), d.list(1, 2)...), deskReset)
+}
+
+// TestNewFlowIsRefusedAtOnce asks each target once, then resets.
+func TestNewFlowIsRefusedAtOnce(t *testing.T) {
+	d := newDesk()
+	s := segment.Segment{
+		Tuple:    deskFlow,
+		Flags:    segment.Syn,
+		Sequence: 9,
+	}
+	effects := d.model.Update(d.now, director.PacketMsg{
+		Segment: s,
+		Data:    encodePacket(s),
+	})
+	asked := map[netip.AddrPort]bool{}
+	for range 3 {
+		x, ok := effects[0].(director.DeliverEffect)
+		if !ok {
+			break
+		}
+		require.False(t, asked[x.To])
+		asked[x.To] = true
+		effects = d.model.Update(d.now, director.RejectMsg{
+			From:    x.To,
+			Reason:  holder.RejectFull,
+			Segment: s,
+			Data:    encodePacket(s),
+		})
+	}
+	require.Len(t, asked, 2)
+	require.Contains(t, effects, director.ResetEffect{
+		Tuple: deskFlow,
+		Cause: director.CauseNoTarget,
+	})
+}
--- a/director/world_test.go
+++ b/director/world_test.go
@@ -109,8 +109,6 @@
 	resets   int
 	// log has what happened to each flow, for a failed run.
 	log map[flow.Tuple][]string
-	// stable is the time since which no unplanned fault has come.
-	stable time.Time
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -398,9 +396,7 @@
 		w.later(5*time.Millisecond, func() {
 			if s.life == life && !s.down {
 				s.recorded = x.Born
-				w.tell(s, holder.RecordedMsg{
-					Born: x.Born,
-				})
+				w.tell(s, holder.RecordedMsg(x))
 			}
 		})
 	case holder.ProbeEffect:
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -32,10 +32,7 @@
 	}
 	m.endOf(e, x.Segment, &e.targetFin)
 	m.stats.ToCaller++
-	m.emit(ToCallerEffect{
-		Segment: x.Segment,
-		Data:    x.Data,
-	})
+	m.emit(ToCallerEffect(x))
 }
 
 // learn draws from a packet of the backend server what state its flow is in.
--- a/holder/report.go
+++ b/holder/report.go
@@ -12,9 +12,12 @@
 	AvailabilityOpen
 	// AvailabilityDraining is a backend server or an agent that leaves.
 	AvailabilityDraining
+	// AvailabilityEnded is an agent that stops after its backend server has ended:
+	// no flow lives there any more.
+	AvailabilityEnded
 )
 
-var availabilityNames = [...]string{"down", "open", "draining"}
+var availabilityNames = [...]string{"down", "open", "draining", "ended"}
 
 // String returns the availability for logs.
 func (a Availability) String() string {
@@ -53,6 +56,8 @@
 
 func (m *Model) availability() Availability {
 	switch {
+	case m.stopping && m.Ended():
+		return AvailabilityEnded
 	case m.stopping || m.server.draining:
 		return AvailabilityDraining
 	case m.server.ready && !m.server.silent && m.server.mayOpen():
--- a/host/message.go
+++ b/host/message.go
@@ -97,6 +97,7 @@
 	holder.AvailabilityDown:     controlpb.MemberAvailability_MEMBER_AVAILABILITY_DOWN,
 	holder.AvailabilityOpen:     controlpb.MemberAvailability_MEMBER_AVAILABILITY_OPEN,
 	holder.AvailabilityDraining: controlpb.MemberAvailability_MEMBER_AVAILABILITY_DRAINING,
+	holder.AvailabilityEnded:    controlpb.MemberAvailability_MEMBER_AVAILABILITY_ENDED,
 }
 
 func reportMsg(from netip.AddrPort, r *controlpb.Report) director.ReportMsg {
