--- a/cmd/lentilshed/passing.go
+++ b/cmd/lentilshed/passing.go
@@ -256,6 +256,9 @@
 	if n.Count != 0 {
 		e = e.Int("count", n.Count)
 	}
+	if n.Version != 0 {
+		e = e.Uint64("config_version", n.Version)
+	}
 	if skipped > 0 {
 		e = e.Uint64("lines_left_out", skipped)
 	}
--- a/director/effect.go
+++ b/director/effect.go
@@ -26,6 +26,8 @@
 	// Sequence is the caller's newest acknowledgement.
 	Sequence uint32
 	Cause    ResetCause
+	// Agents is the number of agents whose answers decided it.
+	Agents int
 }
 
 // ResetCause says why a flow was reset or refused.
--- a/director/lookup.go
+++ b/director/lookup.go
@@ -311,7 +311,7 @@
 	}
 	delete(m.lookups, l.segment.Tuple)
 	m.stats.Unheld++
-	m.reset(l.segment, CauseNotHeld)
+	m.reset(l.segment, CauseNotHeld, len(l.replies))
 }
 
 func (l *lookup) count(x reply) int {
--- a/director/model.go
+++ b/director/model.go
@@ -209,7 +209,7 @@
 	r, ok := m.declared.Routes[routing.Of(s.Tuple)]
 	if !ok {
 		delete(m.hints, s.Tuple)
-		m.reset(s, CauseNoRoute)
+		m.reset(s, CauseNoRoute, 0)
 		return
 	}
 	if h := m.hints[s.Tuple]; h != nil {
@@ -231,7 +231,7 @@
 }
 
 // reset ends a flow, unless the caller itself has just reset it.
-func (m *Model) reset(s segment.Segment, cause ResetCause) {
+func (m *Model) reset(s segment.Segment, cause ResetCause, agents int) {
 	if s.Has(segment.Rst) {
 		return
 	}
@@ -240,6 +240,7 @@
 		Tuple:    s.Tuple,
 		Sequence: s.Ack,
 		Cause:    cause,
+		Agents:   agents,
 	})
 }
 
--- a/director/place.go
+++ b/director/place.go
@@ -25,7 +25,7 @@
 func (m *Model) open(now time.Time, s segment.Segment, data []byte) {
 	r, ok := m.declared.Routes[routing.Of(s.Tuple)]
 	if !ok {
-		m.reset(s, CauseNoRoute)
+		m.reset(s, CauseNoRoute, 0)
 		return
 	}
 	h := m.hints[s.Tuple]
@@ -51,11 +51,11 @@
 func (m *Model) place(now time.Time, r routing.Route, h *hint, s segment.Segment, data []byte) {
 	service, ok := r.Service(s.Tuple)
 	if !ok {
-		m.reset(s, CauseNoRoute)
+		m.reset(s, CauseNoRoute, 0)
 		return
 	}
 	if len(h.tried) >= maxPlacements {
-		m.refuse(s)
+		m.refuse(s, len(h.tried))
 		return
 	}
 	x := m.choose(now, service, h, s.Tuple.Hash(placeSalt))
@@ -69,15 +69,15 @@
 	case now.Sub(m.started) < startGrace && len(h.tried) == 0:
 		m.stats.Early++
 	default:
-		m.refuse(s)
+		m.refuse(s, len(h.tried))
 	}
 }
 
 // refuse tells the caller at once that no target takes its flow.
-func (m *Model) refuse(s segment.Segment) {
+func (m *Model) refuse(s segment.Segment, agents int) {
 	delete(m.hints, s.Tuple)
 	m.stats.Refused++
-	m.reset(s, CauseNoTarget)
+	m.reset(s, CauseNoTarget, agents)
 }
 
 func (m *Model) choose(now time.Time, service string, h *hint, seed uint64) *member {
@@ -106,7 +106,7 @@
 	m.stats.Rejected++
 	r, ok := m.declared.Routes[routing.Of(x.Segment.Tuple)]
 	if !ok {
-		m.reset(x.Segment, CauseNoRoute)
+		m.reset(x.Segment, CauseNoRoute, 0)
 		return
 	}
 	h := m.hints[x.Segment.Tuple]
--- a/host/balancer.go
+++ b/host/balancer.go
@@ -361,8 +361,10 @@
 		b.out = b.config.Form.AppendReset(b.out[:0], x.Tuple, x.Sequence)
 		b.send(b.packets, callerAddress(x.Tuple, b.config.Packets.Port()))
 		b.config.Note(Note{
-			Event: "flow is reset: " + string(x.Cause),
-			Flow:  x.Tuple,
+			Event:   "flow is reset: " + string(x.Cause),
+			Flow:    x.Tuple,
+			Count:   x.Agents,
+			Version: uint64(b.model.Version()),
 		})
 	case director.QueryEffect:
 		b.sendControl(queryOf(x.Flows), x.To)
--- a/host/note.go
+++ b/host/note.go
@@ -9,5 +9,7 @@
 	Flow   flow.Tuple
 	Member string
 	Count  int
-	Err    error
+	// Version is the configuration that a decision was made under; zero is none.
+	Version uint64
+	Err     error
 }
