--- a/cmd/lentilshed/passing_metrics.go
+++ b/cmd/lentilshed/passing_metrics.go
@@ -48,6 +48,7 @@
 	gauge(c, "searches_unheld", s.Unheld)
 	gauge(c, "packets_offered", s.Offers)
 	gauge(c, "flows_verified", s.Verified)
+	gauge(c, "flows_recalled", s.Recalled)
 	gauge(c, "agent_lists", s.Lists)
 	c.Gauge("flows_known").Update(float64(s.Hints))
 	c.Gauge("agents_known").Update(float64(s.Members))
--- a/director/hint.go
+++ b/director/hint.go
@@ -17,6 +17,8 @@
 	ack     uint32
 	opened  bool
 	closing bool
+	// foreign is set until a packet of the flow passes here.
+	foreign bool
 	// first is the sequence number of the first packet while the flow opens.
 	first uint32
 	// tried are the agents that refused the new flow.
@@ -37,6 +39,7 @@
 // note learns from a packet of a flow that has opened.
 func (h *hint) note(now time.Time, s segment.Segment) {
 	h.used = now
+	h.foreign = false
 	if s.Has(segment.Ack) {
 		h.ack = s.Ack
 		h.opened = true
--- a/director/lookup.go
+++ b/director/lookup.go
@@ -292,19 +292,23 @@
 }
 
 // conclude moves a search on once all that were asked have answered. A flow is
-// reset only when no agent of a list that was read after its packet holds it.
+// reset only when no agent of a list that was read after its packet holds it, but
+// for those that are gone.
 func (m *Model) conclude(now time.Time, l *lookup) {
-	for l.count(replyNone) == 0 && l.reach < reachAll {
+	for !m.waits(now, l) && l.reach < reachAll {
 		l.reach++
 		m.widen(m.declared.Routes[routing.Of(l.segment.Tuple)], l)
 	}
-	if l.count(replyNone) > 0 {
+	if m.waits(now, l) {
 		return
 	}
 	if l.count(replyUnsure)+l.count(replyOffered) > 0 {
 		m.offer(now, l)
 		return
 	}
+	if !m.certain(now, l) {
+		return
+	}
 	if m.listedAt.Before(l.started) {
 		m.wantList(now)
 		return
@@ -314,6 +318,29 @@
 	m.reset(l.segment, CauseNotHeld, len(l.replies))
 }
 
+// waits reports whether an answer is still to be expected. An agent that is not
+// heard does not keep a search from going further, once it was asked twice.
+func (m *Model) waits(now time.Time, l *lookup) bool {
+	patient := now.Sub(l.started) <= lookupRetry
+	for _, a := range l.replies {
+		if a.reply == replyNone && (patient || a.member.silence(now) < heardLimit) {
+			return true
+		}
+	}
+	return false
+}
+
+// certain reports whether no agent holds the flow. One that was silent for long has
+// lost its instance or its network, and callers gain from an end of the flow.
+func (m *Model) certain(now time.Time, l *lookup) bool {
+	for _, a := range l.replies {
+		if a.reply != replyUnheld && a.member.silence(now) < missedLimit {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *lookup) count(x reply) int {
 	n := 0
 	for _, a := range l.replies {
--- a/director/member.go
+++ b/director/member.go
@@ -30,6 +30,8 @@
 	life uint64
 	// heard is when the latest report came; zero if none has.
 	heard time.Time
+	// known is when this balancer first knew of the agent.
+	known time.Time
 	// listed is set while the agent is in the newest list.
 	listed bool
 	// placed counts the flows given since the latest report.
@@ -56,6 +58,14 @@
 	return x.Incarnation > m.Incarnation || now.Sub(m.heard) > lifeTakeover
 }
 
+// silence is how long an agent was not heard.
+func (m *member) silence(now time.Time) time.Duration {
+	if m.heard.IsZero() {
+		return now.Sub(m.known)
+	}
+	return now.Sub(m.heard)
+}
+
 // open reports whether a member takes new flows as far as is known. An agent
 // that was not heard yet may.
 func (m *member) open() bool {
--- a/director/model.go
+++ b/director/model.go
@@ -46,6 +46,8 @@
 	lookups   map[flow.Tuple]*lookup
 	// unverified are flows that are to be searched for.
 	unverified []Remembered
+	// recalled is set once they have been compared with the agents that are listed.
+	recalled bool
 	// listedAt is the time of asking of the newest list of agents.
 	listedAt  time.Time
 	listAsked time.Time
@@ -108,7 +110,7 @@
 	case RestoreMsg:
 		m.restore(x)
 	case WokenMsg:
-		m.woken()
+		m.woken(now)
 	case FlushMsg:
 		m.flush()
 	case TickMsg:
@@ -132,11 +134,10 @@
 	known := 0
 	heard := 0
 	for _, x := range m.members {
-		silence := now.Sub(x.heard)
-		if silence < missedLimit || now.Sub(m.started) < missedLimit {
+		if x.silence(now) < missedLimit {
 			known++
 		}
-		if silence < heardLimit {
+		if now.Sub(x.heard) < heardLimit {
 			heard++
 		}
 	}
@@ -282,9 +283,10 @@
 }
 
 // woken treats all reports as old; agents are asked for new ones.
-func (m *Model) woken() {
+func (m *Model) woken(now time.Time) {
 	for _, x := range m.order {
 		x.heard = time.Time{}
+		x.known = now
 		m.emit(SolicitEffect{
 			To: x.Address,
 		})
--- a/director/place.go
+++ b/director/place.go
@@ -122,6 +122,12 @@
 		return
 	}
 	m.learnRejection(now, from, x.Reason)
+	if x.Reason == holder.RejectDown && now.Sub(m.started) < startGrace {
+		// Everything starts; the caller's next copy comes within 400 ms.
+		m.stats.Early++
+		h.member = nil
+		return
+	}
 	h.tried = append(h.tried, from)
 	h.member = nil
 	m.place(now, r, h, x.Segment, x.Data)
--- a/director/restore.go
+++ b/director/restore.go
@@ -10,11 +10,16 @@
 	"github.com/lentilshed/lentilshed/segment"
 )
 
-// Remembered is a flow that passed a balancer, and its caller's newest
-// acknowledgement then.
+// Remembered is a flow that passed a balancer, its caller's newest
+// acknowledgement then, and where it lived.
 type Remembered struct {
 	Tuple flow.Tuple
 	Ack   uint32
+	// Holder is the name of the agent and Life that of its backend server.
+	Holder string
+	Life   uint64
+	// Foreign is set for a flow that passed another balancer.
+	Foreign bool
 }
 
 // RestoreMsg brings the flows that an earlier process of this balancer had
@@ -43,10 +48,12 @@
 		if len(l) == limit {
 			break
 		}
-		if h.opened && !h.closing && now.Sub(h.used) < hintLifetime/2 {
+		if h.opened && !h.closing && !h.foreign && now.Sub(h.used) < hintLifetime/2 {
 			l = append(l, Remembered{
-				Tuple: t,
-				Ack:   h.ack,
+				Tuple:  t,
+				Ack:    h.ack,
+				Holder: h.member.Name,
+				Life:   h.member.life,
 			})
 		}
 	}
@@ -55,6 +62,7 @@
 
 func (m *Model) restore(x RestoreMsg) {
 	m.unverified = append(m.unverified, x.Flows...)
+	m.recalled = false
 }
 
 // verifyMember searches for the flows that were at a member whose backend
@@ -66,7 +74,7 @@
 			continue
 		}
 		delete(m.hints, t)
-		if h.opened && !h.closing {
+		if h.opened && !h.closing && !h.foreign {
 			l = append(l, Remembered{
 				Tuple: t,
 				Ack:   h.ack,
@@ -85,9 +93,17 @@
 	})
 }
 
-// tickVerify starts searches for remembered flows once agents are heard.
+// tickVerify recalls remembered flows once agents are listed, and starts searches
+// for the others once agents are heard.
 func (m *Model) tickVerify(now time.Time) {
-	if len(m.unverified) == 0 || m.declared == nil || now.Sub(m.started) < restoreDelay || !m.Ready(now) {
+	if len(m.unverified) == 0 || m.declared == nil || m.listedAt.IsZero() {
+		return
+	}
+	if !m.recalled {
+		m.recalled = true
+		m.unverified = slices.DeleteFunc(m.unverified, func(f Remembered) bool { return m.recall(now, f) || f.Foreign })
+	}
+	if now.Sub(m.started) < restoreDelay || !m.Ready(now) {
 		return
 	}
 	n := min(len(m.unverified), verifyBatch)
@@ -97,6 +113,28 @@
 	m.unverified = m.unverified[n:]
 }
 
+// recall takes a remembered flow as living where it did, unless another life of
+// that backend server is known. If one is reported later, the flow is searched
+// for then.
+func (m *Model) recall(now time.Time, f Remembered) bool {
+	k := m.members[f.Holder]
+	if k == nil || f.Life == 0 || (k.life != 0 && k.life != f.Life) {
+		return false
+	}
+	k.life = f.Life
+	if m.hints[f.Tuple] == nil && m.lookups[f.Tuple] == nil {
+		m.stats.Recalled++
+		m.remember(f.Tuple, &hint{
+			member:  k,
+			used:    now,
+			ack:     f.Ack,
+			opened:  true,
+			foreign: f.Foreign,
+		})
+	}
+	return true
+}
+
 func (m *Model) verify(now time.Time, f Remembered) {
 	r, ok := m.declared.Routes[routing.Of(f.Tuple)]
 	if !ok || m.hints[f.Tuple] != nil || m.lookups[f.Tuple] != nil {
--- a/director/roster.go
+++ b/director/roster.go
@@ -23,20 +23,14 @@
 		return
 	}
 	if k == nil || k.Address != x.Member.Address || k.Service != x.Member.Service {
-		k = m.add(x.Member)
-	}
-	if k.heard.IsZero() || k.Incarnation != x.Member.Incarnation || k.report.Availability != x.Availability {
-		m.emit(NoteEffect{
-			Event:  "agent is " + x.Availability.String(),
-			Member: x.Member.Name,
-			Count:  int(x.Flows),
-		})
+		k = m.add(now, x.Member)
 	}
+	m.noteChange(k, x)
 	k.since = now.Add(-x.Uptime)
-	if x.Life != 0 && k.life != 0 && x.Life != k.life {
-		m.verifyMember(k)
-	}
 	if x.Life != 0 {
+		if k.life != 0 && x.Life != k.life {
+			m.verifyMember(k)
+		}
 		k.life = x.Life
 	}
 	k.Member = x.Member
@@ -45,6 +39,17 @@
 	k.placed = 0
 }
 
+// noteChange logs what a report changes.
+func (m *Model) noteChange(k *member, x ReportMsg) {
+	if k.heard.IsZero() || k.Incarnation != x.Member.Incarnation || k.report.Availability != x.Availability {
+		m.emit(NoteEffect{
+			Event:  "agent is " + x.Availability.String(),
+			Member: x.Member.Name,
+			Count:  int(x.Flows),
+		})
+	}
+}
+
 // ending is an agent that has said that it ends.
 type ending struct {
 	incarnation uint64
@@ -78,7 +83,7 @@
 }
 
 // add makes an agent known, in the place of any other at its address.
-func (m *Model) add(x Member) *member {
+func (m *Model) add(now time.Time, x Member) *member {
 	if k := m.members[x.Name]; k != nil {
 		m.remove(k)
 	}
@@ -87,6 +92,7 @@
 	}
 	k := &member{
 		Member: x,
+		known:  now,
 	}
 	m.members[x.Name] = k
 	m.byAddr[x.Address] = k
@@ -130,7 +136,7 @@
 			if o := m.byAddr[y.Address]; o != nil && !o.heard.IsZero() {
 				continue
 			}
-			k = m.add(y)
+			k = m.add(now, y)
 			m.emit(SolicitEffect{
 				To: y.Address,
 			})
--- a/director/search_test.go
+++ b/director/search_test.go
@@ -159,6 +159,47 @@
 	require.Equal(t, uint64(1), d.model.Stats().LookupsTimedOut)
 }
 
+// TestAbsentAgentKeepsNoSearchFromGoingOn has an agent in the list whose instance
+// is gone: unsure agents get the packet all the same, and in the end the flow is
+// reset. It was seen after all processes were killed on cugbe-balanceo scale-1: one
+// record of a removed instance kept every search of the region.
+func TestAbsentAgentKeepsNoSearchFromGoingOn(t *testing.T) {
+	d := newDesk()
+	d.list(1, 2, 3)
+	d.packet()
+	d.update(director.AnswerMsg{
+		From:   deskMember(1).Address,
+		Unsure: []flow.Tuple{deskFlow},
+	})
+	d.unheld(2)
+	d.now = d.now.Add(time.Second)
+	d.report(1, holder.AvailabilityOpen)
+	d.report(2, holder.AvailabilityOpen)
+	offered := false
+	for _, e := range append(d.wait(time.Millisecond), d.update(director.AnswerMsg{
+		From:   deskMember(1).Address,
+		Unsure: []flow.Tuple{deskFlow},
+	})...) {
+		x, ok := e.(director.DeliverEffect)
+		offered = offered || ok && x.Offer
+	}
+	require.True(t, offered)
+	for range 25 {
+		d.wait(400 * time.Millisecond)
+		d.report(1, holder.AvailabilityOpen)
+		d.report(2, holder.AvailabilityOpen)
+	}
+	d.packet()
+	d.list(1, 2, 3)
+	d.unheld(1)
+	effects := d.unheld(2)
+	for range 4 {
+		effects = append(effects, d.wait(70*time.Millisecond)...)
+		effects = append(effects, d.list(1, 2, 3)...)
+	}
+	require.Contains(t, effects, deskReset)
+}
+
 // TestEndedAgentLeavesSearches is the incident of 4 December: an agent that had
 // stopped after its backend server kept searches from ending for five seconds,
 // and an older list brought it back.
@@ -220,12 +261,97 @@
 			},
 		},
 	})
+	d.list(1, 2)
 	d.wait(400 * time.Millisecond)
 	d.list(1, 2)
 	d.unheld(1)
 	require.Contains(t, append(d.unheld(2), d.list(1, 2)...), deskReset)
 }
 
+// TestFlowsOfOtherBalancersAreOnlyRecalled leaves the search for a dead flow to the
+// balancer that it passed.
+func TestFlowsOfOtherBalancersAreOnlyRecalled(t *testing.T) {
+	d := newDesk()
+	d.update(director.RestoreMsg{
+		Flows: []director.Remembered{
+			{
+				Tuple:   deskFlow,
+				Ack:     700,
+				Holder:  "unknown",
+				Life:    5,
+				Foreign: true,
+			},
+		},
+	})
+	d.list(1, 2)
+	d.wait(400 * time.Millisecond)
+	require.Zero(t, d.model.Stats().Lookups)
+}
+
+// TestStartingTargetsAreWaitedFor does not refuse a flow while everything starts:
+// the caller's next copy finds the target.
+func TestStartingTargetsAreWaitedFor(t *testing.T) {
+	d := newDesk()
+	s := segment.Segment{
+		Tuple:    deskFlow,
+		Flags:    segment.Syn,
+		Sequence: 9,
+	}
+	packet := director.PacketMsg{
+		Segment: s,
+		Data:    encodePacket(s),
+	}
+	x := d.update(packet)[0].(director.DeliverEffect)
+	require.Empty(t, d.update(director.RejectMsg{
+		From:    x.To,
+		Reason:  holder.RejectDown,
+		Segment: s,
+		Data:    encodePacket(s),
+	}))
+	d.now = d.now.Add(200 * time.Millisecond)
+	d.report(1, holder.AvailabilityOpen)
+	d.report(2, holder.AvailabilityOpen)
+	require.IsType(t, director.DeliverEffect{}, d.update(packet)[0])
+}
+
+// TestFlowsOfALivingServerAreRecalled restores a flow whose backend server lives
+// on beside an agent that was killed as well: its packets go there at once, with no
+// search and nothing offered elsewhere. When another life is reported, the flow is
+// searched for.
+func TestFlowsOfALivingServerAreRecalled(t *testing.T) {
+	d := newDesk()
+	d.update(director.RestoreMsg{
+		Flows: []director.Remembered{
+			{
+				Tuple:  deskFlow,
+				Ack:    700,
+				Holder: deskMember(2).Name,
+				Life:   5,
+			},
+		},
+	})
+	d.list(1, 2)
+	d.wait(time.Millisecond)
+	effects := d.packet()
+	require.Len(t, effects, 1)
+	require.Equal(t, deskMember(2).Address, effects[0].(director.DeliverEffect).To)
+	m := deskMember(2)
+	m.Sequence = uint64(d.now.Add(time.Second).UnixMilli())
+	d.update(director.ReportMsg{
+		Member: m,
+		Report: holder.Report{
+			Availability: holder.AvailabilityOpen,
+			Life:         6,
+		},
+	})
+	d.now = d.now.Add(400 * time.Millisecond)
+	d.report(1, holder.AvailabilityOpen)
+	d.wait(time.Millisecond)
+	d.list(1, 2)
+	d.unheld(1)
+	require.Contains(t, append(d.unheld(2), d.list(1, 2)...), deskReset)
+}
+
 // TestNewFlowIsRefusedAtOnce asks each target once, then resets.
 func TestNewFlowIsRefusedAtOnce(t *testing.T) {
 	d := newDesk()
--- a/director/stats.go
+++ b/director/stats.go
@@ -17,6 +17,7 @@
 	Unheld          uint64
 	Offers          uint64
 	Verified        uint64
+	Recalled        uint64
 	Lists           uint64
 	Hints           int
 	Members         int
--- a/holder/model.go
+++ b/holder/model.go
@@ -32,6 +32,8 @@
 	cold     *target.ColdBudget
 	load     load
 	stopping bool
+	// configured is set once declared holds what operators declared.
+	configured bool
 	// reported is the number of flows in the latest report.
 	reported int
 	sweepAt  time.Time
@@ -96,6 +98,10 @@
 		m.probed(now, x)
 	case ConfigMsg:
 		m.declared = x
+		if !m.configured {
+			m.configured = true
+			m.watch(now)
+		}
 	case RecordMsg:
 		m.record(x)
 	case RecordedMsg:
--- a/holder/server.go
+++ b/holder/server.go
@@ -50,6 +50,9 @@
 	staleBornLimit = 3 * time.Second
 	// startProbePeriod is the time between probes until the first good answer.
 	startProbePeriod = 150 * time.Millisecond
+	// configPatience is the time in which the first probe waits for the path of
+	// the health answer, which is declared.
+	configPatience = 500 * time.Millisecond
 	// startProbeTime is the time after which those probes become rare.
 	startProbeTime  = 4 * time.Second
 	slowProbePeriod = time.Second
@@ -190,6 +193,7 @@
 func (m *Model) watch(now time.Time) {
 	s := &m.server
 	switch {
+	case !s.known && !s.ready && !m.configured && now.Sub(m.started) < configPatience:
 	case !s.known && !s.ready:
 		m.probe(now, m.startProbePause(now), true)
 	case m.load.waiting() && now.Sub(s.sentAt) > silenceLimit && now.Sub(m.load.since) > silenceLimit:
--- a/host/flow_snapshot.go
+++ b/host/flow_snapshot.go
@@ -41,10 +41,14 @@
 func (b *Balancer) restoreFlows(ctx context.Context) {
 	for range loadTries {
 		c, cancel := context.WithTimeout(ctx, callTimeout)
-		s, err := b.config.Registry.LoadFlows(c, b.config.Name)
+		all, err := b.config.Registry.LoadFlows(c)
 		cancel()
 		if err == nil {
-			b.restore(s)
+			b.restore(b.config.Name, all[b.config.Name])
+			delete(all, b.config.Name)
+			for n, s := range all {
+				b.restore(n, s)
+			}
 			return
 		}
 		b.failed("load flows")(err)
@@ -55,18 +59,24 @@
 	}
 }
 
-func (b *Balancer) restore(s []byte) {
+// restore takes the snapshot of one balancer. After a restart of everything, the
+// fabric sends flows to whichever balancer is ready first.
+func (b *Balancer) restore(name string, s []byte) {
 	l, err := decodeFlows(s)
 	if err != nil {
 		b.failed("snapshot of flows cannot be read")(err)
 		return
 	}
+	for i := range l {
+		l[i].Foreign = name != b.config.Name
+	}
 	if len(l) == 0 {
 		return
 	}
 	b.config.Note(Note{
-		Event: "looking after flows of an earlier process",
-		Count: len(l),
+		Event:  "looking after flows of an earlier process",
+		Member: name,
+		Count:  len(l),
 	})
 	b.update(director.RestoreMsg{
 		Flows: l,
@@ -91,8 +101,18 @@
 
 func encodeFlows(l []director.Remembered) ([]byte, error) {
 	x := &controlpb.FlowSnapshot{}
+	holders := map[string]*controlpb.HeldFlows{}
 	for _, f := range l {
-		x.Flows = append(x.Flows, relay.EncodeFlow(f.Tuple, f.Ack))
+		h := holders[f.Holder]
+		if h == nil {
+			h = &controlpb.HeldFlows{
+				Holder: f.Holder,
+				Life:   f.Life,
+			}
+			holders[f.Holder] = h
+			x.Holders = append(x.Holders, h)
+		}
+		h.Flows = append(h.Flows, relay.EncodeFlow(f.Tuple, f.Ack))
 	}
 	b, err := proto.Marshal(x)
 	return b, errors.Wrap(err, "encode flows")
@@ -104,11 +124,15 @@
 		return nil, errors.Wrap(err, "decode flows")
 	}
 	var l []director.Remembered
-	for _, f := range x.GetFlows() {
-		l = append(l, director.Remembered{
-			Tuple: relay.DecodeFlow(f),
-			Ack:   f.GetAck(),
-		})
+	for _, h := range x.GetHolders() {
+		for _, f := range h.GetFlows() {
+			l = append(l, director.Remembered{
+				Tuple:  relay.DecodeFlow(f),
+				Ack:    f.GetAck(),
+				Holder: h.GetHolder(),
+				Life:   h.GetLife(),
+			})
+		}
 	}
 	return l, nil
 }
--- a/host/registry.go
+++ b/host/registry.go
@@ -27,9 +27,9 @@
 	RecordedLife     func(ctx context.Context, name string) (uint64, error)
 	RegisterBalancer func(ctx context.Context, name, domain string, a netip.AddrPort) error
 	// SaveFlows keeps a snapshot of the flows that pass a balancer, LoadFlows
-	// returns it, empty for none, and DropFlows removes it.
+	// returns those of all balancers by name, and DropFlows removes one.
 	SaveFlows          func(ctx context.Context, name string, snapshot []byte) error
-	LoadFlows          func(ctx context.Context, name string) ([]byte, error)
+	LoadFlows          func(ctx context.Context) (map[string][]byte, error)
 	DropFlows          func(ctx context.Context, name string) error
 	UnregisterAgent    func(ctx context.Context, name string) error
 	UnregisterBalancer func(ctx context.Context, name string) error
