--- a/director/place.go
+++ b/director/place.go
@@ -125,7 +125,7 @@
 	if x.Reason == holder.RejectDown && now.Sub(m.started) < startGrace {
 		// Everything starts; the caller's next copy comes within 400 ms.
 		m.stats.Early++
-		h.member = nil
+		delete(m.hints, x.Segment.Tuple)
 		return
 	}
 	h.tried = append(h.tried, from)
--- a/director/search_test.go
+++ b/director/search_test.go
@@ -308,6 +308,8 @@
 		Segment: s,
 		Data:    encodePacket(s),
 	}))
+	d.packet() // A packet of a flow that was placed nowhere starts a search.
+	require.Equal(t, uint64(1), d.model.Stats().Lookups)
 	d.now = d.now.Add(200 * time.Millisecond)
 	d.report(1, holder.AvailabilityOpen)
 	d.report(2, holder.AvailabilityOpen)
