--- a/cmd/lentilshed/passing.go
+++ b/cmd/lentilshed/passing.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -27,6 +28,9 @@
 const (
 	// callHeaderTimeout bounds the head of a call to this process.
 	callHeaderTimeout = 2 * time.Second
+	// settingsPeriod is the time between two looks at the settings file, which may
+	// change without a signal.
+	settingsPeriod = 5 * time.Second
 	// logRate and logBurst bound the lines of a process; a line costs as much as
 	// a packet.
 	logRate  = 40
@@ -217,23 +221,46 @@
 	return nil
 }
 
-// waitForStop rereads the settings when asked, until it is told to stop.
+// waitForStop rereads the settings when asked and when their file has changed,
+// until it is told to stop.
 func (p *passing) waitForStop(path string, signals <-chan os.Signal) {
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			return
+	t := time.NewTicker(settingsPeriod)
+	defer t.Stop()
+	held := fileText(path)
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+		case <-t.C:
+			if fileText(path) == held {
+				continue
+			}
 		}
+		held = fileText(path)
 		p.reload(path)
 	}
 }
 
+// fileText returns the content of a file, empty if it cannot be read.
+func fileText(path string) string {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return ""
+	}
+	return string(b)
+}
+
+// reload puts the settings in force that can change while a process runs: the
+// level of the log. Others wait for the next start.
 func (p *passing) reload(path string) {
 	f, err := readPassing(path)
 	if err != nil {
 		p.log.Warn().Err(err).Msg("settings kept, new ones cannot be used")
 		return
 	}
-	p.log.SetLevel(log.ParseLevel(f.Log.Level))
+	p.log.SetLevel(log.ParseLevel(cmp.Or(f.Log.Level, "info")))
 	p.log.Info().Msg("settings read again")
 }
 
--- a/demo/run.go
+++ b/demo/run.go
@@ -160,7 +160,7 @@
 }
 
 func (r *Run) ended(e caller.End) {
-	if e.Outcome == caller.OutcomeSilent {
+	if e.Outcome == caller.OutcomeSilent && r.options.Log != nil {
 		r.explain(e)
 	}
 	r.mu.Lock()
--- a/director/effect.go
+++ b/director/effect.go
@@ -12,7 +12,7 @@
 type Effect any
 
 // DeliverEffect sends a packet to an agent. Offer is set when the flow may live
-// elsewhere.
+// elsewhere; agents treat both alike.
 type DeliverEffect struct {
 	To      netip.AddrPort
 	Service string
--- a/holder/msg.go
+++ b/holder/msg.go
@@ -18,8 +18,6 @@
 	From netip.AddrPort
 	// Service is the service that the balancer meant.
 	Service string
-	// Offer is set when the balancer does not know where the flow lives.
-	Offer   bool
 	Segment segment.Segment
 	Data    []byte
 }
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -1,7 +1,6 @@
 package holder
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/lentilshed/lentilshed/flow"
@@ -73,7 +72,7 @@
 		}
 	case e.state == entryOpen:
 		m.forget(x.Segment.Tuple, e)
-		m.forgotten(x.Segment, e.via)
+		m.forgotten(x.Segment)
 	case e.state == entryEnded:
 	default:
 		m.forget(x.Segment.Tuple, e)
@@ -83,7 +82,7 @@
 
 // forgotten ends a flow that was open at this backend server and is held by it
 // no more.
-func (m *Model) forgotten(s segment.Segment, _ netip.AddrPort) {
+func (m *Model) forgotten(s segment.Segment) {
 	m.stats.Reset++
 	m.emit(ResetEffect{
 		Tuple:    s.Tuple,
--- a/host/agent_peer.go
+++ b/host/agent_peer.go
@@ -33,7 +33,6 @@
 	}
 	m := holder.DeliverMsg{
 		From:    from,
-		Offer:   h.Offer,
 		Segment: s,
 		Data:    data,
 	}
--- a/host/balancer.go
+++ b/host/balancer.go
@@ -354,7 +354,6 @@
 	case director.DeliverEffect:
 		b.out = relay.AppendDeliver(b.out[:0], relay.Deliver{
 			Service: relay.NewServiceID(x.Service),
-			Offer:   x.Offer,
 		}, x.Data)
 		b.send(b.peer, x.To)
 	case director.ResetEffect:
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -37,22 +37,16 @@
 // Deliver is the head of a packet for a target.
 type Deliver struct {
 	Service ServiceID
-	// Offer is set when the sender does not know where the flow lives.
-	Offer bool
 }
 
 const (
-	deliverHead = 6
+	deliverHead = 5
 	rejectHead  = 2
 )
 
 // AppendDeliver appends a packet for a target to b.
 func AppendDeliver(b []byte, d Deliver, packet []byte) []byte {
-	flags := byte(0)
-	if d.Offer {
-		flags = 1
-	}
-	b = append(b, byte(KindDeliver), flags)
+	b = append(b, byte(KindDeliver))
 	b = binary.LittleEndian.AppendUint32(b, uint32(d.Service))
 	return append(b, packet...)
 }
@@ -63,8 +57,7 @@
 		return Deliver{}, nil, ErrMalformed
 	}
 	return Deliver{
-		Service: ServiceID(binary.LittleEndian.Uint32(b[2:])),
-		Offer:   b[1] == 1,
+		Service: ServiceID(binary.LittleEndian.Uint32(b[1:])),
 	}, b[deliverHead:], nil
 }
 
