--- a/host/balancer.go
+++ b/host/balancer.go
@@ -13,11 +13,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/freshness"
 	"github.com/lentilshed/lentilshed/placement"
-	"github.com/lentilshed/lentilshed/relay"
 	"github.com/zeebo/xxh3"
 )
 
@@ -200,19 +198,6 @@
 	b.Kill()
 }
 
-func (c *BalancerConfig) unregister(ctx context.Context) {
-	x, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := c.Registry.UnregisterBalancer(x, c.Name)
-	err = errors.CombineErrors(err, c.Registry.DropFlows(x, c.Name))
-	if err != nil {
-		c.Note(Note{
-			Event: "record was not removed",
-			Err:   err,
-		})
-	}
-}
-
 // Kill ends all duties at once.
 func (b *Balancer) Kill() {
 	b.cancel()
@@ -231,37 +216,6 @@
 	}
 }
 
-func (b *Balancer) fromFabric(_ netip.AddrPort, p []byte) {
-	s, err := b.config.Form.FromCaller(p)
-	if err != nil {
-		return
-	}
-	b.passed.Add(1)
-	b.update(director.PacketMsg{
-		Segment: s,
-		Data:    p,
-	})
-}
-
-func (b *Balancer) update(m director.Msg) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, e := range b.model.Update(time.Now(), m) {
-		b.perform(e)
-	}
-	if b.model.Queued() && !b.flushing {
-		b.flushing = true
-		time.AfterFunc(flushDelay, b.flush)
-	}
-}
-
-func (b *Balancer) flush() {
-	b.mu.Lock()
-	b.flushing = false
-	b.mu.Unlock()
-	b.update(director.FlushMsg{})
-}
-
 func (b *Balancer) ticks(ctx context.Context) {
 	t := time.NewTicker(tickPeriod)
 	defer t.Stop()
@@ -282,113 +236,3 @@
 		b.tickFreshness()
 	}
 }
-
-func (b *Balancer) failed(event string) func(error) {
-	return func(err error) {
-		b.config.Note(Note{
-			Event: event,
-			Err:   err,
-		})
-	}
-}
-
-// followAgents lists the registered agents at the start, whenever a decision
-// needs a fresh list, and now and then.
-func (b *Balancer) followAgents(ctx context.Context) {
-	fresh := true
-	for ctx.Err() == nil {
-		asked := time.Now()
-		c, cancel := context.WithTimeout(ctx, callTimeout)
-		l, err := b.config.Registry.Agents(c, !fresh)
-		cancel()
-		if err != nil {
-			b.failed("list agents")(err)
-			pause(ctx, callPause)
-			continue
-		}
-		if !fresh {
-			// A cached list may be older than any time of asking.
-			asked = time.Time{}
-		}
-		b.update(director.MembersMsg{
-			Members: l,
-			Asked:   asked,
-		})
-		fresh = b.waitList(ctx)
-	}
-}
-
-// waitList reports whether a fresh list is wanted.
-func (b *Balancer) waitList(ctx context.Context) bool {
-	period := listPeriod
-	if b.Stats().Members == 0 {
-		period = emptyListPeriod
-	}
-	t := time.NewTimer(period)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-b.list:
-		return true
-	}
-	return false
-}
-
-func (b *Balancer) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, callTimeout)
-		err := b.config.Registry.RegisterBalancer(c, b.config.Name, b.config.Domain, b.config.Peer)
-		cancel()
-		if err == nil {
-			return
-		}
-		b.failed("register balancer")(err)
-		pause(ctx, callPause)
-	}
-}
-
-// perform does what the model decided. The lock is held.
-func (b *Balancer) perform(e director.Effect) {
-	switch x := e.(type) {
-	case director.DeliverEffect:
-		b.out = relay.AppendDeliver(b.out[:0], relay.Deliver{
-			Service: relay.NewServiceID(x.Service),
-		}, x.Data)
-		b.send(b.peer, x.To)
-	case director.ResetEffect:
-		b.out = b.config.Form.AppendReset(b.out[:0], x.Tuple, x.Sequence)
-		b.send(b.packets, callerAddress(x.Tuple, b.config.Packets.Port()))
-		b.config.Note(Note{
-			Event:   "flow is reset: " + string(x.Cause),
-			Flow:    x.Tuple,
-			Count:   x.Agents,
-			Version: uint64(b.model.Version()),
-		})
-	case director.QueryEffect:
-		b.sendControl(queryOf(x.Flows), x.To)
-	case director.SolicitEffect:
-		b.sendControl(solicit, x.To)
-	case director.ListEffect:
-		select {
-		case b.list <- struct{}{}:
-		default:
-		}
-	case director.NoteEffect:
-		b.config.Note(Note{
-			Event:  x.Event,
-			Flow:   x.Flow,
-			Member: x.Member,
-			Count:  x.Count,
-		})
-	}
-}
-
-func (b *Balancer) send(s *socket, to netip.AddrPort) {
-	if err := s.send(b.out, to); err != nil {
-		b.config.Note(Note{
-			Event: "datagram was not sent",
-			Err:   err,
-		})
-	}
-}
--- /dev/null
+++ b/host/balancer_perform.go
@@ -0,0 +1,85 @@
+package host
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/relay"
+)
+
+func (b *Balancer) fromFabric(_ netip.AddrPort, p []byte) {
+	s, err := b.config.Form.FromCaller(p)
+	if err != nil {
+		return
+	}
+	b.passed.Add(1)
+	b.update(director.PacketMsg{
+		Segment: s,
+		Data:    p,
+	})
+}
+
+func (b *Balancer) update(m director.Msg) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.model.Update(time.Now(), m) {
+		b.perform(e)
+	}
+	if b.model.Queued() && !b.flushing {
+		b.flushing = true
+		time.AfterFunc(flushDelay, b.flush)
+	}
+}
+
+func (b *Balancer) flush() {
+	b.mu.Lock()
+	b.flushing = false
+	b.mu.Unlock()
+	b.update(director.FlushMsg{})
+}
+
+// perform does what the model decided. The lock is held.
+func (b *Balancer) perform(e director.Effect) {
+	switch x := e.(type) {
+	case director.DeliverEffect:
+		b.out = relay.AppendDeliver(b.out[:0], relay.Deliver{
+			Service: relay.NewServiceID(x.Service),
+		}, x.Data)
+		b.send(b.peer, x.To)
+	case director.ResetEffect:
+		b.out = b.config.Form.AppendReset(b.out[:0], x.Tuple, x.Sequence)
+		b.send(b.packets, callerAddress(x.Tuple, b.config.Packets.Port()))
+		b.config.Note(Note{
+			Event:   "flow is reset: " + string(x.Cause),
+			Flow:    x.Tuple,
+			Count:   x.Agents,
+			Version: uint64(b.model.Version()),
+		})
+	case director.QueryEffect:
+		b.sendControl(queryOf(x.Flows), x.To)
+	case director.SolicitEffect:
+		b.sendControl(solicit, x.To)
+	case director.ListEffect:
+		select {
+		case b.list <- struct{}{}:
+		default:
+		}
+	case director.NoteEffect:
+		b.config.Note(Note{
+			Event:  x.Event,
+			Flow:   x.Flow,
+			Member: x.Member,
+			Count:  x.Count,
+		})
+	}
+}
+
+func (b *Balancer) send(s *socket, to netip.AddrPort) {
+	if err := s.send(b.out, to); err != nil {
+		b.config.Note(Note{
+			Event: "datagram was not sent",
+			Err:   err,
+		})
+	}
+}
