Believe the next heartbeat of the same life after a standstill

Cause: found while reading: a woken agent forgets that its backend server is known, and took its next heartbeat for a late one of an earlier life for three seconds; it refused every new flow meanwhile. Test: holder/testdata/restart, 'reject: down' before, taken after. A dead field of the balancer's members goes as well.

--- a/director/member.go
+++ b/director/member.go
@@ -35,8 +35,7 @@
 	// listed is set while the agent is in the newest list.
 	listed bool
 	// placed counts the flows given since the latest report.
-	placed   uint32
-	rejected time.Time
+	placed uint32
 	// queries are collected until the next flush.
 	queries []holder.Probe
 }
--- a/director/place.go
+++ b/director/place.go
@@ -135,7 +135,6 @@
 
 // learnRejection corrects what is known of an agent that refused a new flow.
 func (m *Model) learnRejection(now time.Time, x *member, reason holder.RejectReason) {
-	x.rejected = now
 	switch reason {
 	case holder.RejectDraining:
 		x.report.Availability = holder.AvailabilityDraining
--- a/holder/server.go
+++ b/holder/server.go
@@ -71,7 +71,7 @@
 func (m *Model) heartbeat(now time.Time, x HeartbeatMsg) {
 	s := &m.server
 	switch {
-	case s.known && x.Born == s.born && x.ID == s.id:
+	case !s.gone && x.Born == s.born && x.ID == s.id:
 		if x.Sequence <= s.sequence {
 			return
 		}
