--- a/cmd/lentilshed/passing.go
+++ b/cmd/lentilshed/passing.go
@@ -35,6 +35,11 @@
 	// a packet.
 	logRate  = 40
 	logBurst = 200
+	// logFlushTimeout bounds the wait for the last lines, well within the time that
+	// a stop leaves to the end of the process.
+	logFlushTimeout = 300 * time.Millisecond
+	// traceSalt keeps the sample of flows apart from other uses of their hash.
+	traceSalt = 0x7ace
 )
 
 // passing is a running balancer or agent of flows that backend servers end
@@ -42,7 +47,9 @@
 type passing struct {
 	settings *settings.Passing
 	log      *log.Logger
+	lines    *telemetry.Queue
 	bounded  telemetry.Bounded
+	tracer   *telemetry.Tracer
 	servers  []*http.Server
 	registry host.Registry
 	metrics  *telemetry.Metrics
@@ -75,9 +82,18 @@
 	if err != nil {
 		return err
 	}
+	q := telemetry.NewQueue(out)
+	defer q.Close(logFlushTimeout)
+	t, file, err := openTraces(f.Trace, f.Passing.Name, q)
+	if err != nil {
+		return err
+	}
+	defer closeTraces(t, file)
 	p := &passing{
 		settings: f.Passing,
-		log:      telemetry.NewLogger(out, f.Passing.Role+" "+f.Passing.Name, f.Log.Level),
+		log:      telemetry.NewLogger(q, f.Passing.Role+" "+f.Passing.Name, f.Log.Level),
+		lines:    q,
+		tracer:   t,
 		bounded: telemetry.Bounded{
 			PerSecond: logRate,
 			Burst:     logBurst,
@@ -150,6 +166,7 @@
 		Form:      packetForm,
 		Registry:  p.registry,
 		Note:      p.note,
+		Hop:       p.hop(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "start balancer")
@@ -186,6 +203,7 @@
 		Form:      packetForm,
 		Registry:  p.registry,
 		Note:      p.note,
+		Hop:       p.hop(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "start agent")
@@ -264,12 +282,25 @@
 	p.log.Info().Msg("settings read again")
 }
 
+// hop returns what records the hops of sampled flows, nil if none are.
+func (p *passing) hop() func(flow.Tuple, string) {
+	if p.tracer == nil {
+		return nil
+	}
+	return func(t flow.Tuple, name string) {
+		if n := t.Hash(traceSalt); p.tracer.Sampled(n) {
+			p.tracer.Hop(n, name)
+		}
+	}
+}
+
 // note writes one line of the log, unless there are too many.
 func (p *passing) note(n host.Note) {
 	skipped, ok := p.bounded.Allow(time.Now())
 	if !ok {
 		return
 	}
+	skipped += p.lines.Dropped()
 	e := p.log.Info()
 	if n.Err != nil {
 		e = p.log.Warn().Err(n.Err)
--- a/cmd/lentilshed/process.go
+++ b/cmd/lentilshed/process.go
@@ -73,13 +73,8 @@
 	if p.admin != nil {
 		p.admin.Close()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
-	defer cancel()
-	_ = p.tracer.Close(ctx)
+	closeTraces(p.tracer, p.traceFile)
 	_ = p.metrics.Close()
-	if p.traceFile != nil {
-		_ = p.traceFile.Close()
-	}
 }
 
 // gauges updates metrics now and then until the process ends.
--- a/cmd/lentilshed/serve.go
+++ b/cmd/lentilshed/serve.go
@@ -108,6 +108,16 @@
 	return p.startAgent(f.Agent)
 }
 
+// closeTraces writes the spans that are left.
+func closeTraces(t *telemetry.Tracer, file io.Closer) {
+	ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+	defer cancel()
+	_ = t.Close(ctx)
+	if file != nil {
+		_ = file.Close()
+	}
+}
+
 // openTraces returns the tracer that the settings ask for.
 func openTraces(t settings.Trace, name string, errOut io.Writer) (*telemetry.Tracer, io.Closer, error) {
 	if t.OneIn == 0 {
--- a/host/agent.go
+++ b/host/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/holder"
 	"github.com/lentilshed/lentilshed/relay"
 )
@@ -27,6 +28,8 @@
 	Form      PacketForm
 	Registry  Registry
 	Note      func(Note)
+	// Hop records that a packet of a flow passed here; nil for nowhere.
+	Hop func(t flow.Tuple, name string)
 }
 
 // Agent is a running agent.
@@ -186,6 +189,7 @@
 	if err != nil {
 		return
 	}
+	a.config.hop(s.Tuple, hopTarget)
 	a.update(holder.OutboundMsg{
 		Segment: s,
 		Data:    p,
--- a/host/agent_peer.go
+++ b/host/agent_peer.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return
 	}
+	a.config.hop(s.Tuple, hopBalancer)
 	m := holder.DeliverMsg{
 		From:    from,
 		Segment: s,
@@ -72,6 +73,7 @@
 	case holder.ToCallerEffect:
 		a.send(a.peer, x.Data, callerAddress(x.Segment.Tuple, a.config.Peer.Port()))
 	case holder.ResetEffect:
+		a.config.hop(x.Tuple, hopEnded)
 		a.out = a.config.Form.AppendReset(a.out[:0], x.Tuple, x.Sequence)
 		a.send(a.peer, a.out, callerAddress(x.Tuple, a.config.Peer.Port()))
 		a.config.Note(Note{
--- a/host/balancer.go
+++ b/host/balancer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/freshness"
 	"github.com/lentilshed/lentilshed/placement"
 	"github.com/zeebo/xxh3"
@@ -36,6 +37,8 @@
 	Form      PacketForm
 	Registry  Registry
 	Note      func(Note)
+	// Hop records that a packet of a flow passed here; nil for nowhere.
+	Hop func(t flow.Tuple, name string)
 }
 
 // Balancer is a running balancer.
--- a/host/balancer_peer.go
+++ b/host/balancer_peer.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return
 	}
+	b.config.hop(s.Tuple, hopRejected)
 	b.update(director.RejectMsg{
 		From:    from,
 		Reason:  holder.RejectReason(reason),
--- a/host/balancer_perform.go
+++ b/host/balancer_perform.go
@@ -14,6 +14,7 @@
 		return
 	}
 	b.passed.Add(1)
+	b.config.hop(s.Tuple, hopFabric)
 	b.update(director.PacketMsg{
 		Segment: s,
 		Data:    p,
@@ -48,6 +49,7 @@
 		}, x.Data)
 		b.send(b.peer, x.To)
 	case director.ResetEffect:
+		b.config.hop(x.Tuple, hopReset)
 		b.out = b.config.Form.AppendReset(b.out[:0], x.Tuple, x.Sequence)
 		b.send(b.packets, callerAddress(x.Tuple, b.config.Packets.Port()))
 		b.config.Note(Note{
