--- a/director/conclude.go
+++ b/director/conclude.go
@@ -16,10 +16,12 @@
 		delete(m.lookups, l.segment.Tuple)
 		return
 	}
+	address := routing.Of(l.segment.Tuple)
+	r := m.declared.Routes[address]
 	for i := range l.replies {
 		a := &l.replies[(i+l.turn)%len(l.replies)]
 		x := a.member
-		if a.reply != replyUnsure {
+		if a.reply != replyUnsure || !m.former.mayHold(address, r, x.Service) {
 			continue
 		}
 		if now.Sub(x.since) > recentLife {
--- a/director/model.go
+++ b/director/model.go
@@ -33,6 +33,7 @@
 	config   Config
 	started  time.Time
 	declared *routing.Config
+	former   former
 	out      map[string]bool
 	outsRev  uint64
 	members  map[string]*member
@@ -83,6 +84,7 @@
 	return &Model{
 		config:   c,
 		started:  now,
+		former:   former{},
 		out:      map[string]bool{},
 		members:  map[string]*member{},
 		byAddr:   map[netip.AddrPort]*member{},
@@ -257,6 +259,9 @@
 	if m.declared != nil && x.Config.Version <= m.declared.Version {
 		return
 	}
+	if m.declared != nil {
+		m.former.note(m.declared, x.Config)
+	}
 	m.declared = x.Config
 	m.emit(NoteEffect{
 		Event: "configuration is in force",
--- /dev/null
+++ b/director/service_test.go
@@ -0,0 +1,93 @@
+package director_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/stretchr/testify/require"
+)
+
+const otherService = "layouts"
+
+// newDeskOfTwo is a balancer with agents 1 and 2 of the route's service and agent 3
+// of another one.
+func newDeskOfTwo() *desk {
+	d := newDesk()
+	m := deskMember(3)
+	m.Service = otherService
+	m.Sequence = 1
+	d.update(director.ReportMsg{
+		Member: m,
+		Report: holder.Report{
+			Availability: holder.AvailabilityOpen,
+		},
+	})
+	d.list(1, 2)
+	return d
+}
+
+func configOf(version routing.Version, service string) director.ConfigMsg {
+	return director.ConfigMsg{
+		Config: &routing.Config{
+			Version: version,
+			Routes: map[routing.Address]routing.Route{
+				worldAddress: {
+					Shares: []routing.Share{
+						{
+							Service: service,
+							Weight:  1,
+						},
+					},
+				},
+			},
+		},
+	}
+}
+
+// search lets agents 1 and 2 say no and agent 3 be unsure, and returns to whom the
+// packet was offered.
+func (d *desk) search() []director.Effect {
+	d.packet()
+	effects := append(d.unheld(1), d.unheld(2)...)
+	d.update(director.FlushMsg{})
+	for range 30 {
+		effects = append(effects, d.update(director.AnswerMsg{
+			From:   deskMember(3).Address,
+			Unsure: []flow.Tuple{deskFlow},
+		})...)
+		effects = append(effects, d.wait(50*time.Millisecond)...)
+	}
+	return effects
+}
+
+func offeredTo(l []director.Effect, n int) bool {
+	for _, e := range l {
+		if x, ok := e.(director.DeliverEffect); ok && x.To == deskMember(n).Address {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPacketsReachNoOtherService searches for a flow while an agent of another service
+// does not know its flows yet: it is asked, but the packet is not for its backend
+// server. The fault soak found packets there (seeds 100, 104, 105, 108).
+func TestPacketsReachNoOtherService(t *testing.T) {
+	d := newDeskOfTwo()
+	effects := d.search()
+	require.False(t, offeredTo(effects, 3))
+	require.NotContains(t, effects, deskReset, "the flow may live there all the same")
+}
+
+// TestPacketsReachAFormerService does the same where an earlier configuration sent the
+// route to the other service: flows that opened then stay there.
+func TestPacketsReachAFormerService(t *testing.T) {
+	d := newDeskOfTwo()
+	d.update(configOf(2, otherService))
+	d.update(configOf(3, worldService))
+	require.True(t, offeredTo(d.search(), 3))
+}
