Let agents learn what a cold server bears from balancers; remember flows of all peers

Change: a question for reports carries what is declared about the service, an agent that knows nothing is asked at once, an older configuration from a cache is ignored. A server that has not spoken, or has lost an open flow since it did, may be cold; while nothing is declared it gets five flows a second. Tried and not taken (docs/design/platform.md): five requests a slot; a refusal that corrects the load.

--- a/director/effect.go
+++ b/director/effect.go
@@ -46,9 +46,11 @@
 	Flows []holder.Probe
 }
 
-// SolicitEffect asks an agent for its report.
+// SolicitEffect asks an agent for its report, and tells it what is declared about its
+// service.
 type SolicitEffect struct {
-	To netip.AddrPort
+	To      netip.AddrPort
+	Service string
 }
 
 // ListEffect asks for a fresh list of all registered agents.
--- a/director/member.go
+++ b/director/member.go
@@ -44,6 +44,8 @@
 	listed bool
 	// placed counts the flows given since the latest report.
 	placed uint32
+	// rank orders members in another way for each balancer.
+	rank uint64
 	// queries are collected until the next flush.
 	queries []holder.Probe
 }
--- a/director/model.go
+++ b/director/model.go
@@ -48,8 +48,10 @@
 	opened map[string]time.Time
 	// sentinels are the agents that this balancer follows always.
 	sentinels []*member
-	hints     map[flow.Tuple]*hint
-	lookups   map[flow.Tuple]*lookup
+	// changed is set when agents came or went since the sentinels were chosen.
+	changed bool
+	hints   map[flow.Tuple]*hint
+	lookups map[flow.Tuple]*lookup
 	// unverified are flows that are to be searched for.
 	unverified []Remembered
 	// recalled is set once they have been compared with the agents that are listed.
--- a/director/place.go
+++ b/director/place.go
@@ -137,7 +137,8 @@
 		return
 	}
 	m.learnRejection(now, from, x.Reason)
-	if x.Reason == holder.RejectDown && now.Sub(m.started) < startGrace {
+	starting := x.Reason == holder.RejectDown || x.Reason == holder.RejectCold
+	if starting && now.Sub(m.started) < startGrace {
 		// Everything starts; the caller's next copy comes within 400 ms.
 		m.stats.Early++
 		delete(m.hints, x.Segment.Tuple)
--- a/director/roster.go
+++ b/director/roster.go
@@ -7,6 +7,7 @@
 
 	"github.com/lentilshed/lentilshed/holder"
 	"github.com/lentilshed/lentilshed/routing"
+	"github.com/zeebo/xxh3"
 )
 
 // report takes what an agent says of itself.
@@ -38,6 +39,10 @@
 	k.heard = now
 	k.met(now)
 	k.placed = 0
+	if x.ConfigVersion == 0 && m.declared != nil {
+		// The agent cannot read it; it hears of it with the question.
+		m.solicit(now, k)
+	}
 }
 
 // noteChange logs what a report changes.
@@ -93,12 +98,13 @@
 	}
 	k := &member{
 		Member: x,
+		rank:   xxh3.HashString(m.config.Name + "/" + x.Name),
 	}
 	m.members[x.Name] = k
 	m.byAddr[x.Address] = k
 	m.services[x.Service] = insertByName(m.services[x.Service], k)
 	m.order = insertByName(m.order, k)
-	m.chooseSentinels()
+	m.changed = true
 	return k
 }
 
@@ -115,7 +121,7 @@
 	same := func(x *member) bool { return x == k }
 	m.services[k.Service] = slices.DeleteFunc(m.services[k.Service], same)
 	m.order = slices.DeleteFunc(m.order, same)
-	m.chooseSentinels()
+	m.changed = true
 	for t, h := range m.hints {
 		if h.member == k {
 			delete(m.hints, t)
--- a/director/solicit.go
+++ b/director/solicit.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/holder"
-	"github.com/zeebo/xxh3"
 )
 
 // Which agents a balancer asks for reports. It follows those that it chooses among,
@@ -41,7 +40,8 @@
 	x.ask(now)
 	x.follow(now)
 	m.emit(SolicitEffect{
-		To: x.Address,
+		To:      x.Address,
+		Service: x.Service,
 	})
 }
 
@@ -72,39 +72,41 @@
 	}
 }
 
-// chooseSentinels picks the agents to follow always: others for each balancer.
-func (m *Model) chooseSentinels() {
-	m.sentinels = m.sentinels[:0]
-	near := m.rank(true)
-	far := m.rank(false)
-	m.sentinels = append(m.sentinels, near[:min(sentinelsNear, len(near))]...)
-	m.sentinels = append(m.sentinels, far[:min(sentinelsFar, len(far))]...)
+// tickSentinels renews the leases of the sentinels before they end.
+func (m *Model) tickSentinels(now time.Time) {
+	if m.changed {
+		m.changed = false
+		m.chooseSentinels()
+	}
+	for _, x := range m.sentinels {
+		if x.follows.Sub(now) < renewLead {
+			m.solicit(now, x)
+		}
+	}
 }
 
-// rank orders the members of this failure domain, or all others, by a hash that
-// differs between balancers.
-func (m *Model) rank(near bool) []*member {
-	var l []*member
+// chooseSentinels picks the agents to follow always: those with the lowest ranks,
+// which differ between balancers.
+func (m *Model) chooseSentinels() {
+	var near, far []*member
 	for _, x := range m.order {
-		if (x.Domain == m.config.Domain) == near {
-			l = append(l, x)
+		if x.Domain == m.config.Domain {
+			near = keepLowest(near, x, sentinelsNear)
+		} else {
+			far = keepLowest(far, x, sentinelsFar)
 		}
 	}
-	slices.SortStableFunc(l, func(a, b *member) int { return cmp.Compare(m.rankOf(a), m.rankOf(b)) })
-	return l
-}
-
-func (m *Model) rankOf(x *member) uint64 {
-	return xxh3.HashString(m.config.Name + "/" + x.Name)
+	m.sentinels = slices.Concat(near, far)
 }
 
-// tickSentinels renews the leases of the sentinels before they end.
-func (m *Model) tickSentinels(now time.Time) {
-	for _, x := range m.sentinels {
-		if x.follows.Sub(now) < renewLead {
-			m.solicit(now, x)
-		}
+// keepLowest inserts a member by its rank into a list of at most n.
+func keepLowest(l []*member, x *member, n int) []*member {
+	i, _ := slices.BinarySearchFunc(l, x, func(a, b *member) int { return cmp.Compare(a.rank, b.rank) })
+	if i == n {
+		return l
 	}
+	l = slices.Insert(l, i, x)
+	return l[:min(len(l), n)]
 }
 
 // questionUnlisted asks agents that are not listed whether they are there.
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -68,10 +68,10 @@
 		return RejectFull
 	case m.declared.MaxFlows > 0 && len(m.flows) >= m.declared.MaxFlows:
 		return RejectFull
-	case m.declared.ColdRate <= 0:
+	case m.configured && m.declared.ColdRate <= 0:
 		return 0
-	case now.Before(m.server.coldUntil):
-		if !m.cold.Admit(now, m.declared.ColdRate) {
+	case m.server.mayBeCold(now):
+		if !m.cold.Admit(now, m.coldRate()) {
 			return RejectCold
 		}
 	default:
@@ -80,6 +80,17 @@
 	return 0
 }
 
+// unknownColdRate is the flows a second for a backend server that may be cold while it
+// is not known what it bears then: the slack that the users' rules leave to any.
+const unknownColdRate = 5
+
+func (m *Model) coldRate() float64 {
+	if !m.configured {
+		return unknownColdRate
+	}
+	return m.declared.ColdRate
+}
+
 // continueFlow decides about any later packet of a flow.
 func (m *Model) continueFlow(now time.Time, x DeliverMsg) {
 	e := m.flows[x.Segment.Tuple]
--- a/holder/model.go
+++ b/holder/model.go
@@ -103,11 +103,7 @@
 	case ProbeMsg:
 		m.probed(now, x)
 	case ConfigMsg:
-		m.declared = x
-		if !m.configured {
-			m.configured = true
-			m.watch(now)
-		}
+		m.configure(now, x)
 	case RecordMsg:
 		m.record(x)
 	case RecordedMsg:
@@ -123,6 +119,18 @@
 	return m.effects
 }
 
+// configure takes what operators declared, from the registry or from a balancer.
+func (m *Model) configure(now time.Time, x ConfigMsg) {
+	if m.configured && x.Version < m.declared.Version {
+		return
+	}
+	m.declared = x
+	if !m.configured {
+		m.configured = true
+		m.watch(now)
+	}
+}
+
 // fromBalancers takes what balancers ask, and which there are.
 func (m *Model) fromBalancers(now time.Time, msg Msg) {
 	switch x := msg.(type) {
--- a/holder/msg.go
+++ b/holder/msg.go
@@ -28,9 +28,10 @@
 	Data    []byte
 }
 
-// SolicitMsg asks for reports.
+// SolicitMsg asks for reports, and tells what the balancer knows to be declared.
 type SolicitMsg struct {
-	From netip.AddrPort
+	From     netip.AddrPort
+	Declared ConfigMsg
 }
 
 // BalancersMsg lists the balancers that have registered.
@@ -90,6 +91,8 @@
 
 // ConfigMsg is what the operators declare of this agent's service.
 type ConfigMsg struct {
+	// Version orders configurations; an older one than that in force is ignored.
+	Version     uint64
 	ColdRate    float64
 	MaxFlows    int
 	IdleTimeout time.Duration
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -83,6 +83,7 @@
 // forgotten ends a flow that was open at this backend server and is held by it
 // no more.
 func (m *Model) forgotten(s segment.Segment) {
+	m.server.forgetful = true
 	m.stats.Reset++
 	m.emit(ResetEffect{
 		Tuple:    s.Tuple,
--- a/holder/report.go
+++ b/holder/report.go
@@ -39,6 +39,8 @@
 	Busy    float64
 	Cold    time.Duration
 	Latency time.Duration
+	// ConfigVersion is the configuration that the agent knows; zero is none.
+	ConfigVersion uint64
 }
 
 // use returns the part of the slots that is in work.
@@ -59,6 +61,8 @@
 		Busy:         m.load.busy,
 		Cold:         max(0, m.server.coldUntil.Sub(now)),
 		Latency:      m.load.latency,
+
+		ConfigVersion: m.declared.Version,
 	}
 }
 
@@ -126,6 +130,9 @@
 
 // solicited answers a balancer that wants to follow this agent.
 func (m *Model) solicited(now time.Time, x SolicitMsg) {
+	if x.Declared.Version != 0 {
+		m.configure(now, x.Declared)
+	}
 	m.audience.Follow(now, x.From)
 	m.tell([]netip.AddrPort{x.From})
 }
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -126,10 +126,11 @@
 			Born: uint64(number(t, x, "born")),
 		}
 	case "config":
-		return holder.ConfigMsg{
-			ColdRate:    float64(number(t, x, "cold_rate")),
-			MaxFlows:    number(t, x, "max"),
-			IdleTimeout: 15 * time.Second,
+		return scriptConfig(t, x)
+	case "solicit":
+		return holder.SolicitMsg{
+			From:     scriptBalancer,
+			Declared: scriptConfig(t, x),
 		}
 	case "probe":
 		return holder.ProbeMsg{
@@ -165,6 +166,15 @@
 	return m
 }
 
+func scriptConfig(t *testing.T, x *datadriven.TestData) holder.ConfigMsg {
+	return holder.ConfigMsg{
+		Version:     uint64(number(t, x, "version")),
+		ColdRate:    float64(number(t, x, "cold_rate")),
+		MaxFlows:    number(t, x, "max"),
+		IdleTimeout: 15 * time.Second,
+	}
+}
+
 var probeResults = map[string]holder.ProbeResult{
 	"ready":   holder.ProbeReady,
 	"alive":   holder.ProbeAlive,
--- a/holder/server.go
+++ b/holder/server.go
@@ -29,6 +29,9 @@
 	earlierKnown bool
 	recorded     uint64
 	coldUntil    time.Time
+	// forgetful is set when it has returned a packet of an open flow since its latest
+	// heartbeat.
+	forgetful bool
 	// bornAt is when this agent began to wait for the backend server.
 	bornAt time.Time
 	// beatAt is the latest heartbeat, sentAt the latest packet, and probedAt the
@@ -67,6 +70,13 @@
 	beatLimit = 3 * time.Second
 )
 
+// mayBeCold reports whether the backend server may bear little now. Until it has said
+// so itself to this process, it may; and when it has lost a flow, it may have started
+// anew.
+func (s *server) mayBeCold(now time.Time) bool {
+	return now.Before(s.coldUntil) || !s.known || s.forgetful
+}
+
 // heartbeat takes what the backend server says of itself.
 func (m *Model) heartbeat(now time.Time, x HeartbeatMsg) {
 	s := &m.server
@@ -92,6 +102,7 @@
 	s.gone = false
 	s.left = false
 	s.silent = false
+	s.forgetful = false
 	s.beatAt = now
 	s.coldUntil = now.Add(x.Cold)
 	m.compareLives()
--- a/host/agent_peer.go
+++ b/host/agent_peer.go
@@ -57,9 +57,7 @@
 	now := time.Now()
 	switch x := d.GetBody().(type) {
 	case *controlpb.Datagram_Solicit:
-		a.apply(now, holder.SolicitMsg{
-			From: from,
-		})
+		a.apply(now, solicitMsg(from, x.Solicit))
 	case *controlpb.Datagram_Query:
 		a.apply(now, queryMsg(from, x.Query))
 	}
--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -129,6 +129,7 @@
 		s := d.Services[a.config.Backend.Service]
 		a.healthPath.Store(&s.HealthPath)
 		a.update(holder.ConfigMsg{
+			Version:     uint64(d.Version),
 			ColdRate:    s.ColdRate,
 			MaxFlows:    s.MaxFlows,
 			IdleTimeout: d.IdleTimeout,
--- a/host/balancer_perform.go
+++ b/host/balancer_perform.go
@@ -67,7 +67,7 @@
 	case director.QueryEffect:
 		b.sendControl(queryOf(x.Flows), x.To)
 	case director.SolicitEffect:
-		b.sendControl(solicit, x.To)
+		b.sendControl(solicitOf(b.model.Declared(), x.Service), x.To)
 	case director.ListEffect:
 		b.look(freshness.KindAgents)
 	case director.NoteEffect:
--- a/host/flow_snapshot.go
+++ b/host/flow_snapshot.go
@@ -20,11 +20,11 @@
 	// for minutes to hours.
 	snapshotPeriod = 5 * time.Second
 	// snapshotRate bounds snapshots, in bytes a second: large ones come less often.
-	snapshotRate = 500
+	snapshotRate = 450
 	// snapshotFlows bounds one snapshot to some 15 KB.
 	snapshotFlows = 600
-	// snapshotPeers is the number of other balancers of the failure domain whose
-	// flows are remembered at a start.
+	// snapshotPeers is the number of other balancers, of the own failure domain if it
+	// has so many, whose flows are remembered at a start.
 	snapshotPeers = 8
 	// loadTries bounds the attempts to load a snapshot: callers notice by
 	// themselves soon.
@@ -52,9 +52,8 @@
 	}
 }
 
-// restorePeers remembers the flows that passed other balancers of this failure
-// domain: after a restart of everything, the fabric sends flows to whichever
-// balancer is ready first.
+// restorePeers remembers the flows that passed other balancers: after a restart of
+// everything, the fabric sends flows to whichever balancer is ready first.
 func (b *Balancer) restorePeers(ctx context.Context) {
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	l, err := b.config.Registry.Balancers(c)
@@ -63,7 +62,7 @@
 		b.failed("list balancers")(err)
 		return
 	}
-	l = slices.DeleteFunc(l, func(p Peer) bool { return p.Domain != b.config.Domain || p.Name == b.config.Name })
+	l = slices.DeleteFunc(l, func(p Peer) bool { return p.Name == b.config.Name })
 	slices.SortFunc(l, func(x, y Peer) int { return cmp.Compare(b.peerRank(x), b.peerRank(y)) })
 	var w sync.WaitGroup
 	for _, p := range l[:min(len(l), snapshotPeers)] {
@@ -72,9 +71,14 @@
 	w.Wait()
 }
 
-// peerRank orders peers in another way for each balancer.
+// peerRank orders peers in another way for each balancer, those of its own failure
+// domain first.
 func (b *Balancer) peerRank(p Peer) uint64 {
-	return xxh3.HashString(b.config.Name + "/" + p.Name)
+	h := xxh3.HashString(b.config.Name+"/"+p.Name) >> 1
+	if p.Domain != b.config.Domain {
+		h |= 1 << 63
+	}
+	return h
 }
 
 func (b *Balancer) restoreFlows(ctx context.Context, name string) {
--- a/host/message.go
+++ b/host/message.go
@@ -9,12 +9,35 @@
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/holder"
 	"github.com/lentilshed/lentilshed/relay"
+	"github.com/lentilshed/lentilshed/routing"
 )
 
-var solicit = &controlpb.Datagram{
-	Body: &controlpb.Datagram_Solicit{
-		Solicit: &controlpb.Solicit{},
-	},
+func solicitOf(c *routing.Config, service string) *controlpb.Datagram {
+	x := &controlpb.Solicit{}
+	if c != nil {
+		s := c.Services[service]
+		x.ConfigVersion = uint64(c.Version)
+		x.ColdRateMilli = uint64(s.ColdRate * milli)
+		x.MaxFlows = uint32(s.MaxFlows)
+		x.IdleTimeoutMs = milliseconds(c.IdleTimeout)
+	}
+	return &controlpb.Datagram{
+		Body: &controlpb.Datagram_Solicit{
+			Solicit: x,
+		},
+	}
+}
+
+func solicitMsg(from netip.AddrPort, x *controlpb.Solicit) holder.SolicitMsg {
+	return holder.SolicitMsg{
+		From: from,
+		Declared: holder.ConfigMsg{
+			Version:     x.GetConfigVersion(),
+			ColdRate:    float64(x.GetColdRateMilli()) / milli,
+			MaxFlows:    int(x.GetMaxFlows()),
+			IdleTimeout: age(x.GetIdleTimeoutMs()),
+		},
+	}
 }
 
 // callerAddress is where packets for the caller of a flow are sent.
@@ -88,6 +111,7 @@
 				BackendLife:   r.Life,
 				UptimeMs:      milliseconds(r.Uptime),
 				LatencyMicros: uint32(r.Latency.Microseconds()),
+				ConfigVersion: r.ConfigVersion,
 			},
 		},
 	}
@@ -118,6 +142,8 @@
 			Busy:    float64(r.GetBusyMilli()) / milli,
 			Cold:    time.Duration(r.GetColdMs()) * time.Millisecond,
 			Latency: time.Duration(r.GetLatencyMicros()) * time.Microsecond,
+
+			ConfigVersion: r.GetConfigVersion(),
 		},
 	}
 	for a, x := range availabilities {
--- /dev/null
+++ b/standin/usersstore/operator.go
@@ -0,0 +1,68 @@
+package usersstore
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Declaration is a configuration as the operator declares it.
+type Declaration struct {
+	Version  int
+	Routes   []Route
+	Services []Service
+	// Idle is the silence after which a flow may be discarded.
+	Idle time.Duration
+}
+
+// Route sends an address and a port to a service.
+type Route struct {
+	Host    string
+	Port    int
+	Service string
+}
+
+// Service is a service; a cold backend server of it bears ColdRate flows a second.
+type Service struct {
+	Name     string
+	ColdRate float64
+}
+
+// Declare stores a configuration; its end is the acknowledgement.
+func (s *Server) Declare(d Declaration) {
+	routes := []map[string]any{}
+	for _, r := range d.Routes {
+		routes = append(routes, map[string]any{
+			"name":        fmt.Sprintf("%s-%d", r.Service, r.Port),
+			"host":        r.Host,
+			"path_prefix": fmt.Sprintf("/%d/", r.Port),
+			"service":     r.Service,
+		})
+	}
+	services := []map[string]any{}
+	for _, x := range d.Services {
+		services = append(services, map[string]any{
+			"name":         x.Name,
+			"health_path":  "/health",
+			"warmup_per_s": x.ColdRate,
+		})
+	}
+	s.Put("config", "main", encode(map[string]any{
+		"version":  d.Version,
+		"routes":   routes,
+		"services": services,
+		"limits": map[string]any{
+			"idle_timeout_ms": d.Idle.Milliseconds(),
+		},
+	}))
+}
+
+// TakeOut asks that nothing more be sent to a failure domain, and BringBack ends that.
+func (s *Server) TakeOut(domain string) {
+	s.Put("evacuations", domain, json.RawMessage("{}"))
+}
+
+// BringBack takes a failure domain back.
+func (s *Server) BringBack(domain string) {
+	s.Delete("evacuations", domain)
+}
