--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -367,6 +367,10 @@
 
 func (t *trouble) domainOut() {
 	domain, d := domainOf(t.rand.IntN(domains)), t.between(time.Second, 10*time.Second)
+	if t.planned {
+		// Long enough for the bound to bind.
+		d += domainBound
+	}
 	t.wait.Go(func() {
 		if !t.claim(t.busy, -1) {
 			return
