--- /dev/null
+++ b/host/declared.go
@@ -0,0 +1,152 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/freshness"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/store"
+)
+
+const (
+	// declaredPath is where balancers fetch the declared state of each other, and
+	// agentsPath the list of agents, as changes after a revision.
+	declaredPath = "/declared"
+	agentsPath   = "/agents"
+	paramAfter   = "after"
+	// fetchTimeout bounds one fetch within a region.
+	fetchTimeout = 600 * time.Millisecond
+	// maxDeclared bounds the declared state, in bytes.
+	maxDeclared = 8 << 20
+)
+
+// declared is the declared state that balancers fetch from each other.
+type declared struct {
+	Config          *routing.Config `json:"config"`
+	Out             []string        `json:"domains_out"`
+	DomainsRevision uint64          `json:"domains_revision"`
+}
+
+// listed is the list of agents, or changes of it, that balancers fetch from each
+// other.
+type listed struct {
+	Changes  director.MemberChanges `json:"changes"`
+	Revision store.Revision         `json:"revision"`
+}
+
+// serveDeclared lets other balancers fetch what is in force here.
+func (b *Balancer) serveDeclared() error {
+	l, err := net.Listen("tcp4", b.config.Peer.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+declaredPath, func(w http.ResponseWriter, _ *http.Request) {
+		b.mu.Lock()
+		d := declared{
+			Config:          b.model.Declared(),
+			Out:             b.model.Out(),
+			DomainsRevision: b.model.DomainsRevision(),
+		}
+		b.mu.Unlock()
+		if err := json.NewEncoder(w).Encode(d); err != nil {
+			b.failed("declared state was not sent")(err)
+		}
+	})
+	mux.HandleFunc("GET "+agentsPath, func(w http.ResponseWriter, q *http.Request) {
+		after, err := strconv.ParseUint(q.URL.Query().Get(paramAfter), 10, 64)
+		if err != nil {
+			http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		b.mu.Lock()
+		var l listed
+		l.Changes, l.Revision = b.agents.Since(store.Revision(after))
+		b.mu.Unlock()
+		if err := json.NewEncoder(w).Encode(l); err != nil {
+			b.failed("list of agents was not sent")(err)
+		}
+	})
+	b.server = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: fetchTimeout,
+	}
+	go func() { _ = b.server.Serve(l) }()
+	return nil
+}
+
+// fetchDeclared fetches newer state from peers that have it.
+func (b *Balancer) fetchDeclared(ctx context.Context) {
+	h := store.NewHTTPClient()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case x := <-b.fetches:
+			fetch := b.fetchConfig
+			if x.Kind == freshness.KindAgents {
+				fetch = b.fetchAgents
+			}
+			c, cancel := context.WithTimeout(ctx, fetchTimeout)
+			err := fetch(c, h, x.From)
+			cancel()
+			if err != nil {
+				b.failed("fetch declared state from " + x.From.String())(err)
+			}
+		}
+	}
+}
+
+// fetchConfig fetches the configuration and the domains taken out.
+func (b *Balancer) fetchConfig(ctx context.Context, h *http.Client, from netip.AddrPort) error {
+	var d declared
+	if err := fetchJSON(ctx, h, "http://"+from.String()+declaredPath, &d); err != nil {
+		return err
+	}
+	if d.Config != nil {
+		b.adoptConfig(d.Config)
+	}
+	if d.DomainsRevision > 0 {
+		b.adoptDomains(d.Out, d.DomainsRevision)
+	}
+	return nil
+}
+
+// fetchAgents fetches the changes of the list of agents.
+func (b *Balancer) fetchAgents(ctx context.Context, h *http.Client, from netip.AddrPort) error {
+	b.mu.Lock()
+	after := b.agents.State().Revision
+	b.mu.Unlock()
+	var l listed
+	if err := fetchJSON(ctx, h, fmt.Sprintf("http://%s%s?%s=%d", from, agentsPath, paramAfter, after), &l); err != nil {
+		return err
+	}
+	b.adoptAgents(l.Changes, l.Revision)
+	return nil
+}
+
+func fetchJSON(ctx context.Context, h *http.Client, url string, into any) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	p, err := h.Do(q)
+	if err != nil {
+		return errors.Wrap(err, "call")
+	}
+	defer func() { _ = p.Body.Close() }()
+	if p.StatusCode != http.StatusOK {
+		return errors.Newf("status %d", p.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(io.LimitReader(p.Body, maxDeclared)).Decode(into), "decode")
+}
