--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"net/http"
+	"time"
+)
+
+var cases map[string]func()
+
+func init() {
+	cases = map[string]func(){
+		"unrecorded":        unrecorded,
+		"late-removal":      lateRemoval,
+		"foreign-heartbeat": foreignHeartbeat,
+		"half-opened":       halfOpened,
+	}
+}
+
+// outage is the length of a disruption of the store, within the 4.6 s of the site's days.
+const outage = 4500 * time.Millisecond
+
+// flowsAt opens flows, with one request each, until a machine's target holds n more of them,
+// and returns all that it has opened.
+func (d *deployment) flowsAt(m *machine, n int, limit time.Duration) []*clientFlow {
+	var l []*clientFlow
+	n += m.target.openFlows()
+	for end := time.Now().Add(limit); m.target.openFlows() < n && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f := d.client.openFlow(nil); f != nil && f.request() {
+			l = append(l, f)
+		}
+	}
+	if m.target.openFlows() < n {
+		fail("%s holds %d flows instead of %d", m.Name, m.target.openFlows(), n)
+	}
+	return l
+}
+
+// requests sends one request on each flow at the same time.
+func requests(l []*clientFlow) {
+	done := make(chan bool)
+	for _, f := range l {
+		go func() { done <- f.request() }()
+	}
+	answered := 0
+	for range l {
+		if <-done {
+			answered++
+		}
+	}
+	logf("%d of %d flows answered a request", answered, len(l))
+}
+
+// unrecorded adds a target while the store is down, and restarts the process beside it
+// before the store is back.
+func unrecorded() {
+	d := newDeployment(2, 4)
+	d.start()
+	begin := time.Now()
+	if trouble {
+		logf("the store is down")
+		d.store.setDown(true)
+	}
+	time.Sleep(100 * time.Millisecond)
+	logf("planned: %s and its target are added", d.spare.Name)
+	d.spare.start()
+	d.spare.target = startTarget(d.spare)
+	time.Sleep(2 * time.Second)
+	l := d.flowsAt(d.spare, 2, 2*time.Second)
+	time.Sleep(time.Until(begin.Add(outage - 500*time.Millisecond)))
+	logf("planned: the process of %s is restarted", d.spare.Name)
+	d.spare.stop()
+	time.Sleep(time.Until(begin.Add(outage)))
+	if trouble {
+		logf("the store is back")
+		d.store.setDown(false)
+		judge.disrupted(nil)
+	}
+	time.Sleep(restartDelay)
+	d.spare.start()
+	time.Sleep(stability + 500*time.Millisecond)
+	logf("each flow gets another request")
+	requests(l)
+	time.Sleep(time.Second)
+}
+
+// lateRemoval restarts the process beside a target that has crashed. The store does the
+// removal of its record late and without an answer, after the target and the process have
+// come back.
+func lateRemoval() {
+	d := newDeployment(2, 4)
+	d.start()
+	side := d.sides[0]
+	stop := make(chan struct{})
+	go d.openMore(stop)
+	time.Sleep(5 * time.Second)
+	if trouble {
+		side.target.crash()
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		logf("some writes to the store are done late, without an answer")
+		lost := false
+		d.store.setLate(func(method, _, _ string) time.Duration {
+			if method != http.MethodDelete || lost {
+				return 0
+			}
+			lost = true
+			return 4 * time.Second
+		})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	logf("planned: the process of %s is restarted", side.Name)
+	side.stop()
+	time.Sleep(restartDelay)
+	side.start()
+	time.Sleep(300 * time.Millisecond)
+	if trouble {
+		side.target = startTarget(side)
+		judge.disrupted(side)
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		lost, writes := d.store.lostWrites()
+		logf("the store answers all writes again; %d of %d writes were done late", lost, writes)
+		d.store.setLate(nil)
+		judge.disrupted(nil)
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		// The last write is done by now.
+		judge.disrupted(nil)
+	}
+	close(stop)
+	l := d.flowsAt(side, 4, 4*time.Second)
+	time.Sleep(2 * time.Second)
+	for _, m := range d.fronts {
+		logf("planned: the process of %s is restarted", m.Name)
+		roll(m)
+		requests(l)
+	}
+	time.Sleep(time.Second)
+}
+
+// openMore opens a flow every 300 ms until stop is closed.
+func (d *deployment) openMore(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(300 * time.Millisecond):
+			if f := d.client.openFlow(nil); f != nil {
+				f.request()
+			}
+		}
+	}
+}
+
+// foreignHeartbeat sends one heartbeat in which a field is missing.
+func foreignHeartbeat() {
+	d := newDeployment(2, 4)
+	d.start()
+	l := d.flowsAt(d.sides[0], 4, 4*time.Second)
+	time.Sleep(stability + 500*time.Millisecond)
+	requests(l)
+	if trouble {
+		status := d.sides[0].target.heartbeat("i-other", 0)
+		logf("a heartbeat without the field of the start reaches %s; status %d", d.sides[0].Name, status)
+	}
+	time.Sleep(3 * time.Second)
+	requests(l)
+	time.Sleep(time.Second)
+}
+
+// halfOpened loses one acceptance of a new flow on its way to the client. Another target
+// accepts the client's copy. Then all processes are restarted in turn.
+func halfOpened() {
+	d := newDeployment(2, 4)
+	d.start()
+	time.Sleep(3 * time.Second)
+	var l []*clientFlow
+	var halves []*machine
+	for range 12 {
+		lost := false
+		f := d.client.openFlow(func(p packet) bool {
+			first := trouble && !lost && p.flags&flagSyn != 0
+			lost = lost || first
+			return first
+		})
+		if f == nil {
+			continue
+		}
+		f.request()
+		if m := d.halfOpenAt(f.flow); m != nil {
+			logf("flow %s is half open at %s", f.flow, m.Name)
+			l = append(l, f)
+			halves = append(halves, m)
+			break
+		}
+		time.Sleep(3 * time.Second)
+	}
+	if trouble && len(l) == 0 {
+		fail("no flow is half open at another target")
+	}
+	logf("planned: all processes are restarted in turn")
+	if len(halves) == 0 {
+		halves = d.sides[:1]
+		l = append(l, d.client.openFlow(nil))
+	}
+	roll(halves[0])
+	time.Sleep(8 * time.Second)
+	requests(l)
+	for _, m := range d.fronts {
+		roll(m)
+		requests(l)
+	}
+	time.Sleep(time.Second)
+}
+
+// halfOpenAt returns the machine on which the target has accepted the flow without it
+// being open there.
+func (d *deployment) halfOpenAt(f flow) *machine {
+	for _, m := range d.sides {
+		m.target.mu.Lock()
+		_, ok := m.target.half[f]
+		m.target.mu.Unlock()
+		if ok {
+			return m
+		}
+	}
+	return nil
+}
