--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -12,7 +12,7 @@
 		"unrecorded":        unrecorded,
 		"late-removal":      lateRemoval,
 		"foreign-heartbeat": foreignHeartbeat,
-		"half-opened":       halfOpened,
+		"idle-timeout":      longerIdleTimeout,
 	}
 }
 
@@ -87,9 +87,11 @@
 // removal of its record late and without an answer, after the target and the process have
 // come back.
 func lateRemoval() {
-	d := newDeployment(2, 4)
+	d := newDeployment(2, 8)
 	d.start()
-	side := d.sides[0]
+	// Fronts subscribe for good to the reports of few agents of their zone; a front that is
+	// restarted may still get reports of these.
+	side := d.sides[4]
 	stop := make(chan struct{})
 	go d.openMore(stop)
 	time.Sleep(5 * time.Second)
@@ -132,7 +134,7 @@
 	}
 	close(stop)
 	l := d.flowsAt(side, 4, 4*time.Second)
-	time.Sleep(2 * time.Second)
+	time.Sleep(2500 * time.Millisecond)
 	for _, m := range d.fronts {
 		logf("planned: the process of %s is restarted", m.Name)
 		roll(m)
@@ -171,61 +173,25 @@
 	time.Sleep(time.Second)
 }
 
-// halfOpened loses one acceptance of a new flow on its way to the client. Another target
-// accepts the client's copy. Then all processes are restarted in turn.
-func halfOpened() {
-	d := newDeployment(2, 4)
-	d.start()
-	time.Sleep(3 * time.Second)
-	var l []*clientFlow
-	var halves []*machine
-	for range 12 {
-		lost := false
-		f := d.client.openFlow(func(p packet) bool {
-			first := trouble && !lost && p.flags&flagSyn != 0
-			lost = lost || first
-			return first
-		})
-		if f == nil {
-			continue
-		}
-		f.request()
-		if m := d.halfOpenAt(f.flow); m != nil {
-			logf("flow %s is half open at %s", f.flow, m.Name)
-			l = append(l, f)
-			halves = append(halves, m)
-			break
-		}
-		time.Sleep(3 * time.Second)
-	}
-	if trouble && len(l) == 0 {
-		fail("no flow is half open at another target")
+// longerIdleTimeout raises the idle timeout in a new configuration, and then lets flows
+// pause for longer than the old value and less than the new one.
+func longerIdleTimeout() {
+	d := newDeployment(2, 8)
+	if trouble {
+		d.declare(4, 5*time.Second)
 	}
-	logf("planned: all processes are restarted in turn")
-	if len(halves) == 0 {
-		halves = d.sides[:1]
-		l = append(l, d.client.openFlow(nil))
+	d.start()
+	l := d.flowsAt(d.sides[4], 4, 4*time.Second)
+	if trouble {
+		d.declare(7, idleTimeout)
 	}
-	roll(halves[0])
-	time.Sleep(8 * time.Second)
-	requests(l)
-	for _, m := range d.fronts {
-		roll(m)
+	for range 4 {
+		// The new version must be in force after three seconds.
+		time.Sleep(time.Second)
 		requests(l)
 	}
+	logf("the flows pause for 9 s")
+	time.Sleep(9 * time.Second)
+	requests(l)
 	time.Sleep(time.Second)
 }
-
-// halfOpenAt returns the machine on which the target has accepted the flow without it
-// being open there.
-func (d *deployment) halfOpenAt(f flow) *machine {
-	for _, m := range d.sides {
-		m.target.mu.Lock()
-		_, ok := m.target.half[f]
-		m.target.mu.Unlock()
-		if ok {
-			return m
-		}
-	}
-	return nil
-}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -84,8 +84,18 @@
 
 const serviceName = "liedlive"
 
-// network is the first two bytes of the loopback addresses of this run.
-var network = fmt.Sprintf("127.%d", 64+os.Getpid()%128)
+// loopback returns an address of this run. Runs at the same time have different ones.
+func loopback(network, host int) string {
+	p := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+p%128, p/128%80*3+network, host)
+}
+
+// The networks of a run.
+const (
+	machineNetwork = iota
+	storeNetwork
+	clientNetwork
+)
 
 // freePorts returns ports that are free on all addresses of the run.
 func freePorts(ips []string) ports {
@@ -129,11 +139,11 @@
 func newDeployment(fronts, sides int) *deployment {
 	var ips []string
 	for i := 1; i <= 40; i++ {
-		ips = append(ips, fmt.Sprintf("%s.1.%d", network, i))
+		ips = append(ips, loopback(machineNetwork, i))
 	}
 	p := freePorts(ips)
 	d := &deployment{
-		store: newStore(network + ".2.1"),
+		store: newStore(loopback(storeNetwork, 1)),
 	}
 	var seeds []string
 	for i := range min(fronts, 3) {
@@ -167,14 +177,24 @@
 	d.spare = d.sides[sides]
 	d.sides = d.sides[:sides]
 	d.router = startRouter(d.fronts)
-	d.client = startClient(network+".3.1", p.Packets, d.router)
+	d.client = startClient(loopback(clientNetwork, 1), p.Packets, d.router)
+	d.declare(3, idleTimeout)
+	return d
+}
+
+// idleTimeout is the idle timeout that the operator declares.
+const idleTimeout = 15 * time.Second
+
+// declare writes a configuration as the operator does.
+func (d *deployment) declare(version int, idle time.Duration) {
 	d.store.put("config", "main", render("config.json", map[string]any{
-		"Version": 3,
+		"Version": version,
 		"Host":    dotted(routeHost),
 		"Port":    routePort,
 		"Service": serviceName,
+		"Idle":    idle.Milliseconds(),
 	}))
-	return d
+	logf("planned: version %d of the configuration is acknowledged, idle timeout %v", version, idle)
 }
 
 // start starts the whole deployment and waits until it serves.
