--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of the deploy file and review/build.sh first" >&2
   exit 2
 fi
-exec review/bin/standin unrecorded review/2/record.txt
+exec review/bin/standin unrecorded review/3/record.txt
