Query all agents of a service before an offer that counts

Cause: a lookup went on to the agents of other failure domains only after it had offered packets to the unsure agents of its own. After planned restarts nearly all agents are unsure for the idle timeout, so the two offers were spent on wrong servers although an agent of another domain would have replied that it holds the flow. An agent that was just being restarted was taken for one that does not hold the flow, too.

Change: if offers to the unsure agents count, the lookup queries all others first, and it makes no such offer while an agent that is being restarted as planned has not replied. After a crash of all agents, offers do not count, and the lookup stays in its domain as before.

Evidence: TestOffersWaitForAgentsOfOtherDomains fails without the change (the local agent is offered the packet) and passes with it.

--- a/director/conclude.go
+++ b/director/conclude.go
@@ -35,8 +35,8 @@
 // misrouting a live flow.
 func (m *Model) offerTo(now time.Time, l *lookup, a *agentReply) {
 	agent := a.member
-	if agent.plannedRestart || now.Sub(agent.startedAt) > m.config.RestartGrace {
-		if l.offers >= maxOffers {
+	if m.offersCount(now, agent) {
+		if l.offers >= maxOffers || l.awaitsRestart() {
 			return
 		}
 		l.offers++
@@ -49,6 +49,19 @@
 	m.send(agent, l.packets[0], true)
 }
 
+// offersCount reports whether packets offered to an agent count towards maxOffers.
+func (m *Model) offersCount(now time.Time, agent *member) bool {
+	return agent.plannedRestart || now.Sub(agent.startedAt) > m.config.RestartGrace
+}
+
+// awaitsRestart reports whether an agent that has not replied is being restarted as planned:
+// its next process may know the flow.
+func (l *lookup) awaitsRestart() bool {
+	return slices.ContainsFunc(l.replies, func(a agentReply) bool {
+		return a.reply == replyNone && a.member.report.Stopping
+	})
+}
+
 // conclude advances a lookup in which no reply is expected any more. It resets the flow
 // only when each agent in the lookup has replied that it does not hold the flow, or has
 // not replied and been silent for lostTimeout, and the newest list of agents was
@@ -78,12 +91,26 @@
 }
 
 // widens reports whether a lookup goes on to the next scope. While agents of the balancer's
-// failure domain are unsure, it waits for widenDelay before it queries all others: the flow
-// is most likely here, and after a restart of all agents the queries about all flows would
-// cross domains for nothing.
+// failure domain are unsure that have just started without a planned stop, it waits for
+// widenDelay before it queries all others: the flow is most likely here, and after a crash of
+// all agents the queries about all flows would cross domains for nothing. If offers to the
+// unsure agents count, all others are queried before one of them is offered a packet, as one
+// of the others may hold the flow.
 func (m *Model) widens(now time.Time, l *lookup) bool {
-	unsure := l.scope == scopeLocal && l.count(replyUnsure)+l.count(replyOffered) > 0
-	return l.scope < scopeAll && (!unsure || now.Sub(l.startedAt) >= widenDelay)
+	if l.scope != scopeLocal {
+		return l.scope < scopeAll
+	}
+	free := false
+	for _, a := range l.replies {
+		if a.reply != replyUnsure && a.reply != replyOffered {
+			continue
+		}
+		if m.offersCount(now, a.member) {
+			return true
+		}
+		free = true
+	}
+	return !free || now.Sub(l.startedAt) >= widenDelay
 }
 
 // awaitsReply reports whether a reply is still expected. Once a lookup has run for
--- a/director/restart_load_test.go
+++ b/director/restart_load_test.go
@@ -403,3 +403,47 @@
 		require.Equal(t, 1, sent[x.Address], "foreign flows are left to their balancers")
 	}
 }
+
+// TestOffersWaitForAgentsOfOtherDomains restarts the agents of the balancer's failure domain
+// as planned, while an agent of another domain holds the flow. The local agents are unsure;
+// none of them may be offered a packet before the other one was queried.
+func TestOffersWaitForAgentsOfOtherDomains(t *testing.T) {
+	b := newTestBalancer()
+	const remote = 2
+	for n := range 6 {
+		x := testMember(n + 1)
+		x.Domain = "domain-a"
+		if n+1 == remote {
+			x.Domain = "domain-b"
+		}
+		x.Sequence = uint64(b.now.UnixMilli()) + 1
+		b.update(director.ReportMsg{
+			Member: x,
+			Report: holder.Report{
+				Availability: holder.AvailabilityOpen,
+				Uptime:       10 * time.Second,
+			},
+		})
+	}
+	effects := append(b.packet(), b.update(director.FlushMsg{})...)
+	for i := 0; i < len(effects); i++ {
+		switch x := effects[i].(type) {
+		case director.DeliverEffect:
+			require.Equal(t, testMember(remote).Address, x.To)
+		case director.QueryEffect:
+			reply := director.ReplyMsg{
+				From:   x.To,
+				Unsure: []flow.Tuple{testFlow},
+			}
+			if x.To == testMember(remote).Address {
+				reply = director.ReplyMsg{
+					From: x.To,
+					Held: []flow.Tuple{testFlow},
+				}
+			}
+			effects = append(effects, b.update(reply)...)
+			effects = append(effects, b.update(director.FlushMsg{})...)
+		}
+	}
+	require.Equal(t, uint64(1), b.model.Stats().LookupsFound)
+}
