Hand open flows over to the next process of a restarted agent

Flows pause for some seconds, their agent is restarted as planned, and a change of the rotation brings the next packet to a balancer without a hint. All agents are unsure, two are offered a packet, and another balancer, to which the next change of the rotation brings the flow, offers two more: three or more packets at wrong servers, none at its own.

Balancers returned only flows that had been confirmed to them, which needs a packet after the next heartbeat, and the agent dropped what they returned before its first heartbeat. The limit of two offers was kept by each balancer for itself.

Change: a stopping agent sends its open flows to four balancers, and its next process asks six for them at its start; both are chosen by rank, so that the sets overlap. Hints are taken before the first heartbeat; those of an earlier incarnation of the backend server are dropped when a later one shows. Agents count the packets that they were offered, hand the counts over, and reply with them, so that the limit holds for all balancers together. A hint is only a positive answer: flows that are not handed over remain unsure.

The simulated world started its agents before its balancers, so that agents knew no balancer until one was restarted; it starts balancers first now.

--- a/director/conclude.go
+++ b/director/conclude.go
@@ -36,7 +36,7 @@
 func (m *Model) offerTo(now time.Time, l *lookup, a *agentReply) {
 	agent := a.member
 	if m.offersCount(now, agent) {
-		if l.offers >= maxOffers || l.awaitsRestart() {
+		if l.offerCount() >= maxOffers || l.awaitsRestart() {
 			return
 		}
 		l.offers++
--- a/director/lookup.go
+++ b/director/lookup.go
@@ -58,6 +58,22 @@
 	reply  reply
 	// offered is set once the agent was offered a packet in this lookup.
 	offered bool
+	// offers is the number of packets that the agent was offered, by its latest reply.
+	offers int
+}
+
+// offerCount returns the number of packets of the flow that are known to have been offered:
+// by this balancer, or by others, as the replies of the agents say.
+func (l *lookup) offerCount() int {
+	n := 0
+	for _, a := range l.replies {
+		if a.offered {
+			n += max(a.offers, 1)
+		} else {
+			n += a.offers
+		}
+	}
+	return max(n, l.offers)
 }
 
 // replyOf returns the entry of an agent, or nil if it was not queried.
@@ -104,8 +120,8 @@
 	// An agent that has started without a plan within Config.RestartGrace may not know its
 	// flows, and the users' rules leave its instance out for longer than that, so a lookup
 	// may offer packets to any number of such agents. All others, also those that had been
-	// asked to stop, are offered at most maxOffers: a third packet at a wrong server would
-	// count as misrouting a live flow, however late it comes.
+	// asked to stop, are offered at most maxOffers by all balancers together: a third packet
+	// at a wrong server would count as misrouting a live flow, however late it comes.
 	maxOffers = 2
 	// offerTimeout is the time for which a lookup waits for the outcome of an offer.
 	offerTimeout = 2100 * time.Millisecond
--- a/director/member.go
+++ b/director/member.go
@@ -50,6 +50,8 @@
 	// hintReports counts the reports of this incarnation of the agent after which it was
 	// sent the hints of its flows.
 	hintReports int
+	// handover has the flows that the agent has handed over, nil for none.
+	handover *handover
 	// listed is set while the agent is in the newest list of agents.
 	listed bool
 	// placed counts the new flows sent since the latest report.
--- a/director/model.go
+++ b/director/model.go
@@ -124,6 +124,10 @@
 		m.handleReport(now, x)
 	case ReplyMsg:
 		m.handleReply(now, x)
+	case HandoverMsg:
+		m.handleHandover(now, x)
+	case HandoverRequestMsg:
+		m.handleHandoverRequest(now, x)
 	case ConfigMsg:
 		m.adoptConfig(x)
 	case DomainsMsg:
--- a/director/msg.go
+++ b/director/msg.go
@@ -37,12 +37,15 @@
 // ReplyMsg is an agent's reply to a query: the flows that its backend server holds,
 // those that it does not hold, and those of which the agent does not know this. Agents
 // also send it without a query, to confirm flows that it holds. BackendIncarnation is the
-// incarnation that is known to hold the flows in Held, or zero.
+// incarnation that is known to hold the flows in Held, or zero. Offers has, for flows in
+// Unheld and Unsure, the number of packets that were offered to the backend server, by any
+// balancer.
 type ReplyMsg struct {
 	From   netip.AddrPort
 	Held   []flow.Tuple
 	Unheld []flow.Tuple
 	Unsure []flow.Tuple
+	Offers map[flow.Tuple]uint8
 
 	BackendIncarnation uint64
 }
--- a/director/query.go
+++ b/director/query.go
@@ -152,6 +152,7 @@
 	}
 	for _, t := range msg.Unheld {
 		if l := m.lookups[t]; l != nil {
+			l.recordOffers(from, msg.Offers[t])
 			m.recordReply(now, l, from, replyUnheld)
 		}
 	}
@@ -160,12 +161,21 @@
 		if l == nil {
 			continue
 		}
+		l.recordOffers(from, msg.Offers[t])
 		if a := l.replyOf(from); a == nil || a.reply == replyNone {
 			m.recordReply(now, l, from, replyUnsure)
 		}
 	}
 }
 
+// recordOffers records how many packets of the flow an agent was offered, also by other
+// balancers.
+func (l *lookup) recordOffers(from *member, n uint8) {
+	if a := l.replyOf(from); a != nil {
+		a.offers = int(n)
+	}
+}
+
 // recordReply applies an agent's reply about one flow.
 func (m *Model) recordReply(now time.Time, l *lookup, from *member, r reply) {
 	a := l.replyOf(from)
--- a/director/send_hints.go
+++ b/director/send_hints.go
@@ -18,22 +18,40 @@
 )
 
 // sendHints sends an agent that has just started the flows that an earlier process of it
-// has confirmed to this balancer, if its backend server still runs. When agents restart
-// while flows move between balancers, the balancer that looks a flow up is not the one that
-// knows it; without the hints no agent could reply that it holds the flow until the backend
-// server sends a packet.
+// has handed over or confirmed to this balancer, if its backend server still runs. When
+// agents restart while flows move between balancers, the balancer that looks a flow up is not
+// the one that knows it; without the hints no agent could reply that it holds the flow until
+// the backend server sends a packet.
 func (m *Model) sendHints(now time.Time, agent *member) {
-	if agent.hintReports >= hintReports || !agent.wantsHints(now) {
+	if agent.hintReports >= hintReports || now.Sub(agent.startedAt) > unsureTime {
 		return
 	}
 	agent.hintReports++
+	m.sendKnownFlows(now, agent)
+}
+
+// handleHandoverRequest sends an agent that asks for the flows of its earlier processes those
+// that are known here.
+func (m *Model) handleHandoverRequest(now time.Time, msg HandoverRequestMsg) {
+	if agent := m.membersByAddress[msg.From]; agent != nil {
+		agent.received(now)
+		m.sendKnownFlows(now, agent)
+	}
+}
+
+// sendKnownFlows sends an agent the flows that it has confirmed and those that it has handed
+// over.
+func (m *Model) sendKnownFlows(now time.Time, agent *member) {
 	var l []holder.QueriedFlow
-	for t, h := range m.hints {
-		if h.member == agent && h.confirmed() {
-			l = append(l, h.queried(t))
+	if agent.reportedIncarnation != 0 {
+		for t, h := range m.hints {
+			if h.member == agent && h.confirmed() {
+				l = append(l, h.queried(t))
+			}
 		}
 	}
-	m.emitHints(agent, l)
+	m.emitHints(agent, agent.reportedIncarnation, l)
+	m.returnHandover(now, agent)
 }
 
 // sendRestoredHints does the same for all agents, once hints were restored from snapshots.
@@ -47,7 +65,7 @@
 		}
 	}
 	for _, agent := range m.sortedMembers {
-		m.emitHints(agent, l[agent])
+		m.emitHints(agent, agent.reportedIncarnation, l[agent])
 	}
 }
 
@@ -70,7 +88,7 @@
 	}
 }
 
-func (m *Model) emitHints(agent *member, l []holder.QueriedFlow) {
+func (m *Model) emitHints(agent *member, incarnation uint64, l []holder.QueriedFlow) {
 	slices.SortFunc(l, func(x, y holder.QueriedFlow) int {
 		return cmp.Compare(x.Tuple.Hash(0), y.Tuple.Hash(0))
 	})
@@ -78,7 +96,7 @@
 		m.emit(HintsEffect{
 			To:                 agent.Address,
 			Flows:              slices.Clone(x),
-			BackendIncarnation: agent.reportedIncarnation,
+			BackendIncarnation: incarnation,
 		})
 	}
 }
--- a/director/service_test.go
+++ b/director/service_test.go
@@ -188,3 +188,42 @@
 	require.Len(t, agents, 2)
 	require.NotEqual(t, agents[0], agents[1])
 }
+
+// TestOffersOfOtherBalancersCount guards against misrouting while agents and balancers are
+// restarted in turn: two agents were offered packets by a balancer that has left the
+// rotation, one has returned its packet and the other is unsure. A third agent must not be
+// offered one.
+func TestOffersOfOtherBalancersCount(t *testing.T) {
+	b := newTestBalancer()
+	for n := 1; n <= 4; n++ {
+		b.reportIncarnation(n, 1, false, time.Hour)
+	}
+	b.packet()
+	offers := map[flow.Tuple]uint8{
+		testFlow: 1,
+	}
+	var effects []director.Effect
+	for n, m := range []director.ReplyMsg{
+		{
+			Unheld: []flow.Tuple{testFlow},
+			Offers: offers,
+		},
+		{
+			Unsure: []flow.Tuple{testFlow},
+			Offers: offers,
+		},
+		{
+			Unsure: []flow.Tuple{testFlow},
+		},
+		{
+			Unsure: []flow.Tuple{testFlow},
+		},
+	} {
+		m.From = testMember(n + 1).Address
+		effects = append(effects, b.update(m)...)
+	}
+	for _, e := range effects {
+		_, sent := e.(director.DeliverEffect)
+		require.False(t, sent, "a third agent is offered a packet")
+	}
+}
--- a/director/world_backend_test.go
+++ b/director/world_backend_test.go
@@ -141,6 +141,7 @@
 		c.misrouted = nil
 		return
 	}
+	w.misrouted++
 	if w.disturbed(n) || w.disturbed(c.node) {
 		return
 	}
--- a/director/world_test.go
+++ b/director/world_test.go
@@ -78,6 +78,8 @@
 	fabricSalt  uint32
 	resets      int
 	reportsSent int
+	// misrouted counts packets of open flows that reached other servers.
+	misrouted int
 	// flowLog has the events of each flow, for the message of a failed run.
 	flowLog map[flow.Tuple][]string
 }
@@ -105,15 +107,15 @@
 			},
 		},
 	}
-	for i := range 6 {
-		w.addNode(i)
-	}
 	for i := range 3 {
 		w.balancers = append(w.balancers, &balancer{
 			address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 7720),
 		})
 		w.startBalancer(w.balancers[i])
 	}
+	for i := range 6 {
+		w.addNode(i)
+	}
 	return w
 }
 
@@ -145,6 +147,7 @@
 		balancers = append(balancers, b.address)
 	}
 	n.model = holder.NewModel(holder.Config{
+		Name:      n.name,
 		Service:   testService,
 		Balancers: balancers,
 	}, w.now)
@@ -332,9 +335,24 @@
 			Held:   x.Held,
 			Unheld: x.Unheld,
 			Unsure: x.Unsure,
+			Offers: x.Offers,
 
 			BackendIncarnation: x.BackendIncarnation,
 		})
+	case holder.HandoverEffect:
+		for _, b := range x.To {
+			w.toBalancer(b, director.HandoverMsg{
+				From:               n.address,
+				Flows:              x.Flows,
+				BackendIncarnation: x.BackendIncarnation,
+			})
+		}
+	case holder.HandoverRequestEffect:
+		for _, b := range x.To {
+			w.toBalancer(b, director.HandoverRequestMsg{
+				From: n.address,
+			})
+		}
 	case holder.ReportEffect:
 		w.report(n, x.To)
 	case holder.RecordEffect:
--- a/holder/confirm.go
+++ b/holder/confirm.go
@@ -25,7 +25,13 @@
 // confirmable reports whether the present incarnation of the backend server is known to
 // hold the flow.
 func (m *Model) confirmable(e *entry) bool {
-	return e.state == entryOpen && m.incarnation() != 0 && m.server.lastHeartbeat.Sub(e.openedAt) >= confirmMargin
+	if e.state != entryOpen || m.incarnation() == 0 {
+		return false
+	}
+	if e.unverified {
+		return e.hintedIncarnation == m.incarnation()
+	}
+	return m.server.lastHeartbeat.Sub(e.openedAt) >= confirmMargin
 }
 
 // noteForwarder schedules a confirmation of the flow for the balancer that forwards its
@@ -63,23 +69,3 @@
 	}
 	clear(m.confirmations)
 }
-
-// handleHints adds flows that an earlier process of this agent confirmed, if the same
-// incarnation of the backend server runs. They are open, or have ended since; then the
-// backend server returns their next packet, and they are reset.
-func (m *Model) handleHints(now time.Time, msg HintsMsg) {
-	if msg.BackendIncarnation == 0 || msg.BackendIncarnation != m.incarnation() {
-		return
-	}
-	for _, f := range msg.Flows {
-		if m.flows[f.Tuple] != nil || m.KnowsAllFlows(now) {
-			continue
-		}
-		e := &entry{
-			lastAck: f.Ack,
-		}
-		e.markOpen(now)
-		m.addFlow(now, f.Tuple, e)
-		m.stats.Hinted++
-	}
-}
--- a/holder/effect.go
+++ b/holder/effect.go
@@ -100,6 +100,9 @@
 	// Unsure are flows that the backend server may hold: this agent does not know
 	// all of its flows yet.
 	Unsure []flow.Tuple
+	// Offers has, for flows in Unheld and Unsure, the number of packets that were sent to
+	// the backend server although it was not known to hold the flow.
+	Offers map[flow.Tuple]uint8
 }
 
 // RecordEffect writes an incarnation of the backend server to the registry before
--- a/holder/entry.go
+++ b/holder/entry.go
@@ -61,6 +61,11 @@
 	bytes      uint32
 	callerFin  bool
 	backendFin bool
+	// unverified is set for a flow that was hinted, until the backend server has sent a
+	// packet of it. hintedIncarnation is the incarnation of the backend server that held it
+	// by the hint; zero is unknown.
+	unverified        bool
+	hintedIncarnation uint64
 }
 
 // markOpen records that the backend server is now known to hold the flow.
--- a/holder/model.go
+++ b/holder/model.go
@@ -17,6 +17,7 @@
 
 // Config holds the settings of a Model.
 type Config struct {
+	Name string
 	// Service is the service of the backend server beside the agent.
 	Service string
 	// MaxEntries bounds the flows in the table; zero or less is defaultMaxEntries.
@@ -40,6 +41,9 @@
 	load       load
 	admission  admission
 	stopping   bool
+	// handoverRequested has the balancers that were asked for the flows of earlier
+	// processes.
+	handoverRequested map[netip.AddrPort]bool
 	// configured is set once a declared configuration was received.
 	configured  bool
 	subscribers *Subscribers
@@ -65,6 +69,8 @@
 		flows:       map[flow.Tuple]*entry{},
 		coldBudget:  target.NewColdBudget(now),
 		subscribers: NewSubscribers(now, c.Balancers),
+
+		handoverRequested: map[netip.AddrPort]bool{},
 		declared: ConfigMsg{
 			IdleTimeout: defaultIdleTimeout,
 		},
@@ -118,8 +124,9 @@
 	case ResumedMsg:
 		m.handleResumed(now)
 	case StopMsg:
-		m.stopping = true
-		m.reportToAll(now)
+		m.handleStop(now)
+	case ExitMsg:
+		m.handOver(now)
 	case TickMsg:
 		m.tick(now)
 	}
@@ -192,6 +199,7 @@
 		return
 	}
 	m.nextSweep = now.Add(sweepInterval)
+	m.requestHandover(now)
 	m.sweep(now)
 }
 
@@ -310,6 +318,12 @@
 	confirmed := true
 	for _, p := range msg.Flows {
 		e := m.flows[p.Tuple]
+		if e != nil && e.offered > 0 && !e.holds(p.Ack) {
+			if a.Offers == nil {
+				a.Offers = map[flow.Tuple]uint8{}
+			}
+			a.Offers[p.Tuple] = e.offered
+		}
 		switch {
 		case e != nil && e.holds(p.Ack):
 			a.Held = append(a.Held, p.Tuple)
--- a/holder/msg.go
+++ b/holder/msg.go
@@ -98,10 +98,13 @@
 type QueriedFlow struct {
 	Tuple flow.Tuple
 	Ack   uint32
+	// Offers is set for a flow of a handover that the backend server is not known to hold:
+	// the number of its packets that were sent to the backend server.
+	Offers uint8
 }
 
-// HintsMsg lists flows that an earlier process of this agent had confirmed to a balancer,
-// with the incarnation of the backend server that holds them.
+// HintsMsg lists flows that an earlier process of this agent had handed over or confirmed to
+// a balancer, with the incarnation of the backend server that holds them; zero is unknown.
 type HintsMsg struct {
 	Flows              []QueriedFlow
 	BackendIncarnation uint64
@@ -140,5 +143,8 @@
 // StopMsg makes the agent refuse new flows, because it is about to stop.
 type StopMsg struct{}
 
+// ExitMsg says that the agent's process ends once the effects are performed.
+type ExitMsg struct{}
+
 // TickMsg lets the model check its timeouts and send reports that are due.
 type TickMsg struct{}
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -27,6 +27,7 @@
 		// with a number close to its latest acknowledgement is accepted.
 		e.lastAck = packet.Segment.Sequence
 	}
+	e.unverified = false
 	e.bytes += uint32(packet.Segment.Length)
 	e.lastPacket = now
 	m.updateState(now, e, packet.Segment)
--- a/holder/report.go
+++ b/holder/report.go
@@ -165,6 +165,7 @@
 	for _, b := range msg.Addresses {
 		found = m.subscribers.Add(now, b) || found
 	}
+	m.requestHandover(now)
 	if found {
 		m.reportToAll(now)
 	}
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -153,6 +153,8 @@
 		return holder.ResumedMsg{}
 	case "stop":
 		return holder.StopMsg{}
+	case "exit":
+		return holder.ExitMsg{}
 	case "query":
 		return holder.QueryMsg{
 			From: scriptBalancer,
@@ -167,8 +169,9 @@
 		return holder.HintsMsg{
 			Flows: []holder.QueriedFlow{
 				{
-					Tuple: scriptFlow(number(t, x, "flow")),
-					Ack:   uint32(number(t, x, "upto")),
+					Tuple:  scriptFlow(number(t, x, "flow")),
+					Ack:    uint32(number(t, x, "upto")),
+					Offers: uint8(number(t, x, "offers")),
 				},
 			},
 			BackendIncarnation: uint64(number(t, x, "incarnation")),
@@ -260,9 +263,16 @@
 		if x.BackendIncarnation != 0 {
 			s += fmt.Sprintf(" incarnation %d", x.BackendIncarnation)
 		}
+		for _, n := range x.Offers {
+			s += fmt.Sprintf(" offers %d", n)
+		}
 		return s
 	case holder.ReportEffect:
 		return "report"
+	case holder.HandoverEffect:
+		return fmt.Sprintf("hand over %d flows of incarnation %d to %d balancers", len(x.Flows), x.BackendIncarnation, len(x.To))
+	case holder.HandoverRequestEffect:
+		return fmt.Sprintf("request handover from %d balancers", len(x.To))
 	case holder.RecordEffect:
 		return fmt.Sprintf("record %d", x.Incarnation)
 	case holder.ProbeEffect:
--- a/holder/server.go
+++ b/holder/server.go
@@ -167,6 +167,7 @@
 func (m *Model) newIncarnation(msg HeartbeatMsg) {
 	s := &m.server
 	recorded := s.earlierRecordRead && s.earlierRecord == msg.Incarnation
+	m.dropHints(msg.Incarnation)
 	if !s.lastHeartbeat.IsZero() && !recorded {
 		m.resetAll(CauseBackendReplaced, s.lastHeartbeat)
 		s.noEarlierFlows = true
--- a/holder/subscribers.go
+++ b/holder/subscribers.go
@@ -95,6 +95,18 @@
 	s.broadcasts = broadcastRepeats
 }
 
+// Known returns the balancers that have not timed out, in order of address.
+func (s *Subscribers) Known(now time.Time) []netip.AddrPort {
+	var l []netip.AddrPort
+	for address, b := range s.balancers {
+		if now.Sub(b.lastReceived) <= balancerTimeout {
+			l = append(l, address)
+		}
+	}
+	slices.SortFunc(l, netip.AddrPort.Compare)
+	return l
+}
+
 // Recipients returns the balancers that get a report now, in order of address. Each call
 // counts as one report of a broadcast, and removes balancers that have timed out.
 func (s *Subscribers) Recipients(now time.Time) []netip.AddrPort {
--- a/host/agent.go
+++ b/host/agent.go
@@ -83,6 +83,7 @@
 	a := &Agent{
 		config: c,
 		model: holder.NewModel(holder.Config{
+			Name:      c.Name,
 			Service:   c.Backend.Service,
 			Balancers: c.Balancers,
 		}, now),
@@ -156,6 +157,7 @@
 	}
 	a.mu.Lock()
 	ended := a.model.BackendEnded()
+	a.apply(time.Now(), holder.ExitMsg{})
 	a.mu.Unlock()
 	if ended {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -230,15 +232,7 @@
 // lock.
 func (a *Agent) sendReport(now time.Time, to []netip.AddrPort) {
 	a.self.Sequence++
-	out, err := relay.AppendControl(a.buffer[:0], encodeReport(a.self, a.model.Report(now)))
-	if err != nil {
-		a.logError("report was not sent", err)
-		return
-	}
-	a.buffer = out
-	for _, x := range to {
-		a.send(a.peer, a.buffer, x)
-	}
+	a.sendControl(encodeReport(a.self, a.model.Report(now)), to)
 }
 
 func (a *Agent) send(s *socket, b []byte, to netip.AddrPort) {
--- a/host/agent_peer.go
+++ b/host/agent_peer.go
@@ -85,9 +85,13 @@
 		a.buffer = relay.AppendReject(a.buffer[:0], uint8(x.Reason), x.Data)
 		a.send(a.peer, a.buffer, x.To)
 	case holder.ReplyEffect:
-		a.reply(x)
+		a.sendControl(encodeReply(x), []netip.AddrPort{x.To})
 	case holder.ReportEffect:
 		a.sendReport(now, x.To)
+	case holder.HandoverEffect:
+		a.sendControl(encodeHandover(x), x.To)
+	case holder.HandoverRequestEffect:
+		a.sendControl(handoverRequest(), x.To)
 	case holder.RecordEffect:
 		select {
 		case a.incarnations <- x.Incarnation:
@@ -104,14 +108,17 @@
 	}
 }
 
-func (a *Agent) reply(x holder.ReplyEffect) {
-	out, err := relay.AppendControl(a.buffer[:0], encodeReply(x))
+// sendControl sends a control datagram to some balancers. The caller holds the lock.
+func (a *Agent) sendControl(d *controlpb.Datagram, to []netip.AddrPort) {
+	out, err := relay.AppendControl(a.buffer[:0], d)
 	if err != nil {
-		a.logError("reply to a query was not sent", err)
+		a.logError("control datagram was not sent", err)
 		return
 	}
 	a.buffer = out
-	a.send(a.peer, a.buffer, x.To)
+	for _, x := range to {
+		a.send(a.peer, a.buffer, x)
+	}
 }
 
 // probe probes the backend server in a separate goroutine, one at a time.
--- a/host/balancer_peer.go
+++ b/host/balancer_peer.go
@@ -54,6 +54,12 @@
 		b.update(decodeReport(from, x.Report))
 	case *controlpb.Datagram_Answer:
 		b.update(decodeReply(from, x.Answer))
+	case *controlpb.Datagram_Handover:
+		b.update(decodeHandover(from, x.Handover))
+	case *controlpb.Datagram_HandoverRequest:
+		b.update(director.HandoverRequestMsg{
+			From: from,
+		})
 	case *controlpb.Datagram_Digest:
 		b.updateFreshness(decodeDigest(from, x.Digest))
 	}
--- a/host/message.go
+++ b/host/message.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -46,55 +47,93 @@
 }
 
 func encodeQuery(l []holder.QueriedFlow) *controlpb.Datagram {
-	q := &controlpb.FlowQuery{}
-	for _, p := range l {
-		q.Flows = append(q.Flows, relay.EncodeFlow(p.Tuple, p.Ack))
-	}
 	return &controlpb.Datagram{
 		Body: &controlpb.Datagram_Query{
-			Query: q,
+			Query: &controlpb.FlowQuery{
+				Flows: encodeQueriedFlows(l),
+			},
 		},
 	}
 }
 
 func encodeHints(e director.HintsEffect) *controlpb.Datagram {
-	h := &controlpb.FlowHints{
-		BackendLife: e.BackendIncarnation,
-	}
-	for _, f := range e.Flows {
-		h.Flows = append(h.Flows, relay.EncodeFlow(f.Tuple, f.Ack))
-	}
 	return &controlpb.Datagram{
 		Body: &controlpb.Datagram_Hints{
-			Hints: h,
+			Hints: &controlpb.FlowHints{
+				Flows:       encodeQueriedFlows(e.Flows),
+				BackendLife: e.BackendIncarnation,
+			},
 		},
 	}
 }
 
 func decodeHints(h *controlpb.FlowHints) holder.HintsMsg {
-	m := holder.HintsMsg{
+	return holder.HintsMsg{
+		Flows:              decodeQueriedFlows(h.GetFlows()),
 		BackendIncarnation: h.GetBackendLife(),
 	}
-	for _, f := range h.GetFlows() {
-		m.Flows = append(m.Flows, holder.QueriedFlow{
-			Tuple: relay.DecodeFlow(f),
-			Ack:   f.GetAck(),
-		})
+}
+
+func encodeHandover(e holder.HandoverEffect) *controlpb.Datagram {
+	return &controlpb.Datagram{
+		Body: &controlpb.Datagram_Handover{
+			Handover: &controlpb.FlowHandover{
+				Flows:       encodeQueriedFlows(e.Flows),
+				BackendLife: e.BackendIncarnation,
+			},
+		},
 	}
-	return m
 }
 
-func decodeQuery(from netip.AddrPort, q *controlpb.FlowQuery) holder.QueryMsg {
-	m := holder.QueryMsg{
-		From: from,
+func decodeHandover(from netip.AddrPort, h *controlpb.FlowHandover) director.HandoverMsg {
+	return director.HandoverMsg{
+		From:               from,
+		Flows:              decodeQueriedFlows(h.GetFlows()),
+		BackendIncarnation: h.GetBackendLife(),
+	}
+}
+
+func handoverRequest() *controlpb.Datagram {
+	return &controlpb.Datagram{
+		Body: &controlpb.Datagram_HandoverRequest{
+			HandoverRequest: &controlpb.HandoverRequest{},
+		},
+	}
+}
+
+func encodeQueriedFlows(l []holder.QueriedFlow) []*controlpb.FlowTuple {
+	x := make([]*controlpb.FlowTuple, 0, len(l))
+	for _, f := range l {
+		t := relay.EncodeFlow(f.Tuple, f.Ack)
+		t.Offers = uint32(f.Offers)
+		x = append(x, t)
 	}
-	for _, f := range q.GetFlows() {
-		m.Flows = append(m.Flows, holder.QueriedFlow{
-			Tuple: relay.DecodeFlow(f),
-			Ack:   f.GetAck(),
+	return x
+}
+
+func decodeQueriedFlows(l []*controlpb.FlowTuple) []holder.QueriedFlow {
+	x := make([]holder.QueriedFlow, 0, len(l))
+	for _, f := range l {
+		x = append(x, holder.QueriedFlow{
+			Tuple:  relay.DecodeFlow(f),
+			Ack:    f.GetAck(),
+			Offers: decodeOffers(f),
 		})
 	}
-	return m
+	return x
+}
+
+// decodeOffers returns the number of offered packets of a flow, capped at the largest value
+// of the type.
+func decodeOffers(f *controlpb.FlowTuple) uint8 {
+	return uint8(min(f.GetOffers(), math.MaxUint8))
+}
+
+func decodeQuery(from netip.AddrPort, q *controlpb.FlowQuery) holder.QueryMsg {
+	return holder.QueryMsg{
+		From:  from,
+		Flows: decodeQueriedFlows(q.GetFlows()),
+	}
 }
 
 func encodeReply(e holder.ReplyEffect) *controlpb.Datagram {
@@ -102,16 +141,24 @@
 		Body: &controlpb.Datagram_Answer{
 			Answer: &controlpb.FlowAnswer{
 				Held:        relay.EncodeFlows(e.Held),
-				Unheld:      relay.EncodeFlows(e.Unheld),
-				Unsure:      relay.EncodeFlows(e.Unsure),
+				Unheld:      encodeOfferedFlows(e.Unheld, e.Offers),
+				Unsure:      encodeOfferedFlows(e.Unsure, e.Offers),
 				BackendLife: e.BackendIncarnation,
 			},
 		},
 	}
 }
 
+func encodeOfferedFlows(l []flow.Tuple, offers map[flow.Tuple]uint8) []*controlpb.FlowTuple {
+	x := relay.EncodeFlows(l)
+	for i, t := range l {
+		x[i].Offers = uint32(offers[t])
+	}
+	return x
+}
+
 func decodeReply(from netip.AddrPort, a *controlpb.FlowAnswer) director.ReplyMsg {
-	return director.ReplyMsg{
+	m := director.ReplyMsg{
 		From:   from,
 		Held:   relay.DecodeFlows(a.GetHeld()),
 		Unheld: relay.DecodeFlows(a.GetUnheld()),
@@ -119,6 +166,17 @@
 
 		BackendIncarnation: a.GetBackendLife(),
 	}
+	for _, l := range [...][]*controlpb.FlowTuple{a.GetUnheld(), a.GetUnsure()} {
+		for _, f := range l {
+			if n := decodeOffers(f); n > 0 {
+				if m.Offers == nil {
+					m.Offers = map[flow.Tuple]uint8{}
+				}
+				m.Offers[relay.DecodeFlow(f)] = n
+			}
+		}
+	}
+	return m
 }
 
 // milli converts fractional numbers to whole thousandths on the wire.
