Do not take a missing record for proof that no flow is unknown

Callers of open flows get resets of the system although their backend server lives and holds them, 4.5 s after the store is back: a target was added while the store was down, and its agent was restarted before the record could be written.

Cause: holder.compareIncarnations concluded from a record of another incarnation, or from none, that no earlier agent process had sent flows to the present incarnation. But an agent serves without a record once the registry has failed for 1.5 s. Its next process counted all flows as known, ignored the hints of balancers, and replied that it does not hold the open flows. The same happened with the record of an earlier incarnation, if the backend server was restarted while the store was down.

Change: the conclusion is drawn only if the first heartbeat that the process received is one of the first two of the incarnation. A process that serves without a record has waited longer than one heartbeat interval, so a later process receives the third one at the earliest. Otherwise the agent is unsure until it has run for the idle timeout. That the process of the backend server was absent while the agent ran is still proof.

Ruled out: the time of the backend server's start against the agent's own clock, as a clock may have been set in between.

--- a/holder/server.go
+++ b/holder/server.go
@@ -14,7 +14,10 @@
 	id          target.ID
 	incarnation uint64
 	sequence    uint64
-	slots       uint32
+	// firstSequence is the sequence number of the first heartbeat of the present incarnation
+	// that this process received.
+	firstSequence uint64
+	slots         uint32
 	// ready is set by a heartbeat that is not draining, or by a good health response while
 	// announced is not set. New flows also depend on mayOpen and on the load.
 	ready    bool
@@ -144,11 +147,18 @@
 	return m.server.earlierRecordRead && incarnation != 0 && incarnation < m.server.earlierRecord
 }
 
-// compareIncarnations concludes that no flow is missing from the table when the
-// backend server has started after an earlier agent process wrote its record.
+// maxUnservedSequence is the highest sequence number of a first heartbeat that shows that no
+// earlier agent process sent flows to the incarnation without a record of it. An agent waits
+// for longer than a heartbeat interval before it serves without a record, so it has received
+// two heartbeats by then, and its next process receives the third one at the earliest.
+const maxUnservedSequence = 2
+
+// compareIncarnations concludes that no flow is missing from the table when the backend server
+// has started after an earlier agent process wrote its record. A missing or older record alone
+// does not show this: while the registry is unavailable, agents serve without one.
 func (m *Model) compareIncarnations() {
 	s := &m.server
-	if s.announced && s.earlierRecordRead && s.earlierRecord != s.incarnation {
+	if s.announced && s.earlierRecordRead && s.earlierRecord != s.incarnation && s.firstSequence <= maxUnservedSequence {
 		s.noEarlierFlows = true
 	}
 }
@@ -179,6 +189,7 @@
 			Incarnation: msg.Incarnation,
 		})
 	}
+	s.firstSequence = msg.Sequence
 	m.emit(LogEffect{
 		Event: "first heartbeat of backend server " + string(msg.ID) + " was received",
 		Count: len(m.flows),
--- a/host/agent.go
+++ b/host/agent.go
@@ -60,7 +60,8 @@
 	// maxIncarnations bounds the incarnations that wait to be recorded.
 	maxIncarnations = 16
 	// registerTimeout is the time after which an agent serves without a record, as
-	// the registry may be unavailable for long.
+	// the registry may be unavailable for long. It is longer than the interval between
+	// two heartbeats, from which the next process concludes what this one has served.
 	registerTimeout = 1500 * time.Millisecond
 	// finalReports is the number of reports that an agent sends when it stops, as some
 	// are lost, and finalReportDelay is the time after each.
