--- a/standin/usersstore/server.go
+++ b/standin/usersstore/server.go
@@ -40,6 +40,9 @@
 	LoseResponses bool
 	// Delay is added to each response.
 	Delay time.Duration
+	// LateRemovals closes the connections of removals without a response, and performs
+	// them after this time, if their condition still holds; zero performs them at once.
+	LateRemovals time.Duration
 }
 
 type object struct {
@@ -283,28 +286,48 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if r, err := strconv.ParseUint(q.URL.Query().Get("rev"), 10, 64); err == nil {
+		o.Meta.Revision = r
+	}
+	if q.Method == http.MethodPost {
+		name = o.Meta.Name
+	}
+	if q.Method == http.MethodDelete && f.LateRemovals > 0 {
+		time.AfterFunc(f.LateRemovals, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.apply(q.Method, kind, name, o)
+		})
+		panic(http.ErrAbortHandler)
+	}
 	s.mu.Lock()
 	status := s.apply(q.Method, kind, name, o)
+	var answer json.RawMessage
+	if x := s.objects[kind][name]; x != nil {
+		answer = encode(x)
+	}
 	s.mu.Unlock()
 	if f.LoseResponses {
 		panic(http.ErrAbortHandler)
 	}
 	w.WriteHeader(status)
+	_, _ = w.Write(answer)
 }
 
+// apply performs a write if its condition holds.
 func (s *Server) apply(method, kind, name string, o object) int {
-	_, found := s.objects[kind][name]
+	x := s.objects[kind][name]
 	switch {
-	case method == http.MethodDelete && !s.remove(kind, name):
-		return http.StatusNotFound
-	case method == http.MethodPut && !found:
+	case method == http.MethodPost && x != nil:
+		return http.StatusConflict
+	case method != http.MethodPost && x == nil:
 		return http.StatusNotFound
-	case method == http.MethodPut:
-		s.put(kind, name, o.Spec)
-	case method == http.MethodPost && s.objects[kind][o.Meta.Name] != nil:
+	case o.Meta.Revision != 0 && x != nil && o.Meta.Revision != x.Meta.Revision:
 		return http.StatusConflict
-	case method == http.MethodPost:
-		s.put(kind, o.Meta.Name, o.Spec)
+	case method == http.MethodDelete:
+		s.remove(kind, name)
+	default:
+		s.put(kind, name, o.Spec)
 	}
 	return http.StatusOK
 }
