Let agents learn of a new idle timeout within a second

A new configuration raises the idle timeout from 5 s to 15 s; callers whose flows pause for 9 s then get resets of the system at about half of the agents.

Cause: an agent without report requests read the configuration every 25 s only, and balancers answered an older version in a report only if it was zero. With the old timeout the agent removed the flow, counted all flows as known, and replied that it does not hold it.

Change: an agent that has no subscribers sends one report a second to one balancer after the other, and a balancer answers every report with an older version with a report request, which carries the present configuration. Open flows stay in the table for a minute at least, so that a timeout that is raised does not come too late for the flows that were silent before; they do not count as flows of the backend server once they have been silent for the timeout, and that it returns such a flow does not show that it has restarted.

--- a/director/members.go
+++ b/director/members.go
@@ -29,8 +29,8 @@
 	}
 	m.logChange(agent, msg)
 	m.applyReport(now, agent, msg)
-	if msg.ConfigVersion == 0 && m.declared != nil {
-		// The agent cannot read the configuration itself; it comes with the request.
+	if m.declared != nil && msg.ConfigVersion < uint64(m.declared.Version) {
+		// The configuration comes with the request.
 		m.requestReport(now, agent)
 	}
 }
--- a/director/report_request_test.go
+++ b/director/report_request_test.go
@@ -176,3 +176,36 @@
 		},
 	})
 }
+
+// TestOlderConfigurationIsReplaced guards against agents that keep an idle timeout that is no
+// longer in force: the report of an agent with an older configuration is answered with a
+// report request, which carries the present one.
+func TestOlderConfigurationIsReplaced(t *testing.T) {
+	b := newTestBalancer()
+	b.update(configOf(5, testService))
+	for _, x := range []struct {
+		version uint64
+		sent    bool
+	}{
+		{version: 4, sent: true},
+		{version: 5},
+		{version: 6},
+	} {
+		b.now = b.now.Add(time.Second)
+		m := testMember(1)
+		m.Sequence = uint64(b.now.UnixMilli())
+		sent := false
+		for _, e := range b.update(director.ReportMsg{
+			Member: m,
+			Report: holder.Report{
+				Availability:  holder.AvailabilityOpen,
+				ConfigVersion: x.version,
+			},
+		}) {
+			if r, ok := e.(director.ReportRequestEffect); ok {
+				sent = r.To == m.Address
+			}
+		}
+		require.Equal(t, x.sent, sent, "version %d", x.version)
+	}
+}
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -73,7 +73,7 @@
 		return RejectDown
 	case m.load.full(m.server.slots):
 		return RejectFull
-	case m.declared.MaxFlows > 0 && len(m.flows) >= m.declared.MaxFlows:
+	case m.declared.MaxFlows > 0 && m.Flows() >= m.declared.MaxFlows:
 		return RejectFull
 	case m.defers(now, t):
 		return RejectBusy
@@ -128,6 +128,7 @@
 		return
 	}
 	e.balancer = packet.From
+	e.wasIdle = m.isIdle(now, e)
 	if e.state == entrySynAckSent {
 		e.markOpen(now)
 	}
--- a/holder/entry.go
+++ b/holder/entry.go
@@ -61,6 +61,9 @@
 	bytes      uint32
 	callerFin  bool
 	backendFin bool
+	// wasIdle is set if the flow had been silent for longer than the idle timeout when the
+	// caller's latest packet came.
+	wasIdle bool
 	// unverified is set for a flow that was hinted, until the backend server has sent a
 	// packet of it. hintedIncarnation is the incarnation of the backend server that held it
 	// by the hint; zero is unknown.
--- a/holder/model.go
+++ b/holder/model.go
@@ -53,9 +53,16 @@
 	reportedFlows int
 	// lastReport is when the latest report to the subscribers was due.
 	lastReport time.Time
-	nextSweep  time.Time
-	stats      Stats
-	effects    []Effect
+	// configCheckedAt is when a balancer was last sent a regular report, and configChecks
+	// counts the reports that were not sent to subscribers.
+	configCheckedAt time.Time
+	configChecks    int
+	// idleFlows is the number of flows that were silent for longer than the idle timeout at
+	// the latest sweep.
+	idleFlows int
+	nextSweep time.Time
+	stats     Stats
+	effects   []Effect
 }
 
 // NewModel returns a model whose backend server is not known yet.
@@ -82,6 +89,10 @@
 	defaultMaxEntries = 8192
 	// defaultIdleTimeout is used until a configuration is known.
 	defaultIdleTimeout = 15 * time.Second
+	// idleRetention is the least time for which an open flow stays in the table. A new
+	// configuration may raise the idle timeout, and flows that are silent for longer than
+	// the earlier one are still open then.
+	idleRetention = time.Minute
 	// endedRetention keeps an ended flow in the table for its last retransmissions.
 	endedRetention = 3 * time.Second
 	// openingTimeout is the silence after which a flow is removed that has not reached
@@ -174,9 +185,9 @@
 // idleMargin is added to the idle timeout before a flow counts as ended.
 const idleMargin = time.Second
 
-// Flows returns the number of flows in the table.
+// Flows returns the number of flows that have not been silent for longer than the idle timeout.
 func (m *Model) Flows() int {
-	return len(m.flows)
+	return max(0, len(m.flows)-m.idleFlows)
 }
 
 // Stats returns the counters since the start.
@@ -206,7 +217,11 @@
 // sweep removes flows that have ended or were silent for too long, and the requests
 // that have timed out from the load.
 func (m *Model) sweep(now time.Time) {
+	m.idleFlows = 0
 	for t, e := range m.flows {
+		if m.isIdle(now, e) {
+			m.idleFlows++
+		}
 		switch {
 		case now.Sub(e.lastPacket) > m.entryTimeout(e):
 			m.removeFlow(t, e)
@@ -224,10 +239,17 @@
 		return openingTimeout
 	case entryEnded:
 		return endedRetention
+	case entryOpen:
+		return max(m.declared.IdleTimeout, idleRetention) + idleMargin
 	}
 	return m.declared.IdleTimeout + idleMargin
 }
 
+// isIdle reports whether the backend server may have discarded a flow because of its silence.
+func (m *Model) isIdle(now time.Time, e *entry) bool {
+	return now.Sub(e.lastPacket) > m.declared.IdleTimeout+idleMargin
+}
+
 func (m *Model) removeFlow(t flow.Tuple, e *entry) {
 	if e.requestPending() {
 		m.load.abandon()
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -85,6 +85,7 @@
 		}
 	case e.state == entryOpen:
 		m.removeFlow(packet.Segment.Tuple, e)
+		m.server.lostFlow = m.server.lostFlow || !e.wasIdle
 		m.lostByBackend(packet.Segment)
 	case e.state == entryEnded, e.state == entryUnheld:
 	default:
@@ -97,7 +98,6 @@
 // lostByBackend resets a flow that was open at this backend server and that it no
 // longer holds.
 func (m *Model) lostByBackend(s segment.Segment) {
-	m.server.lostFlow = true
 	m.stats.Reset++
 	m.emit(ResetEffect{
 		Tuple:    s.Tuple,
--- a/holder/report.go
+++ b/holder/report.go
@@ -71,7 +71,7 @@
 		BackendIncarnation: m.incarnation(),
 		Uptime:             now.Sub(m.startedAt),
 		Slots:              m.server.slots,
-		Flows:              uint32(len(m.flows)),
+		Flows:              uint32(m.Flows()),
 		Busy:               m.load.meanInFlight,
 		ColdFor:            max(0, m.server.coldUntil.Sub(now)),
 		Latency:            m.load.latency,
@@ -126,11 +126,33 @@
 	burst := grown > minGrowth && grown > m.reportedFlows/growthDivisor
 	if burst || now.Sub(m.lastReport) >= ReportInterval {
 		m.lastReport = now
-		m.sendReport(m.subscribers.Recipients(now))
+		m.sendReport(m.reportRecipients(now))
 		m.flushConfirmations()
 	}
 }
 
+// configCheckInterval is the time between two reports of an agent without subscribers. The
+// balancer that gets one sends the declared configuration if it has a newer one, so it is a
+// small part of the time within which a configuration must be in force.
+const configCheckInterval = time.Second
+
+// reportRecipients returns the subscribers, or one other balancer at a time, which differs
+// each time, if none was sent a report for configCheckInterval. Without reports, an agent would
+// not learn of a new configuration for long.
+func (m *Model) reportRecipients(now time.Time) []netip.AddrPort {
+	to := m.subscribers.Recipients(now)
+	if len(to) == 0 && now.Sub(m.configCheckedAt) >= configCheckInterval {
+		if l := m.subscribers.Known(now); len(l) > 0 {
+			m.configChecks++
+			to = l[m.configChecks%len(l):][:1]
+		}
+	}
+	if len(to) > 0 {
+		m.configCheckedAt = now
+	}
+	return to
+}
+
 // reportToAll sends a report of a change, such as one that ends flows or stops
 // admission, to all balancers.
 func (m *Model) reportToAll(now time.Time) {
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -193,11 +193,15 @@
 }
 
 func scriptConfig(t *testing.T, x *datadriven.TestData) holder.ConfigMsg {
+	idleTimeout := 15 * time.Second
+	if x.HasArg("idle_s") {
+		idleTimeout = time.Duration(number(t, x, "idle_s")) * time.Second
+	}
 	return holder.ConfigMsg{
 		Version:     uint64(number(t, x, "version")),
 		ColdRate:    float64(number(t, x, "cold_rate")),
 		MaxFlows:    number(t, x, "max"),
-		IdleTimeout: 15 * time.Second,
+		IdleTimeout: idleTimeout,
 	}
 }
 
--- a/holder/server.go
+++ b/holder/server.go
@@ -37,8 +37,8 @@
 	// an earlier agent process wrote to the registry if that incarnation still runs.
 	recordedIncarnation uint64
 	coldUntil           time.Time
-	// lostFlow is set when the backend server has returned a packet of an open flow
-	// since its latest heartbeat.
+	// lostFlow is set when the backend server has returned a packet of an open flow that was
+	// not idle since its latest heartbeat.
 	lostFlow bool
 	// lastHeartbeat and lastPacket are when the latest heartbeat and packet came from
 	// the backend server, and lastProbe is when the latest probe was started.
