Close the listener of the backend stand-in with it

Seen once, in platform's tests beside those of integration: TestConfigurationChangeTakesEffect failed with "address already in use" for the health check of its backend server.

Cause: Close of the stand-in closed its HTTP server, which closes a listener only once it serves it. If the goroutine had not started by then, the address stayed in use for a moment.

--- a/standin/usersbackend/server.go
+++ b/standin/usersbackend/server.go
@@ -72,7 +72,10 @@
 type Server struct {
 	config Config
 	conn   *net.UDPConn
-	http   *http.Server
+	// listener is closed with the server, which closes it itself only once it accepts
+	// connections.
+	listener net.Listener
+	http     *http.Server
 	// incarnation is the start time in milliseconds since the Unix epoch.
 	incarnation int64
 	mu          sync.Mutex
@@ -98,8 +101,9 @@
 		return nil, errors.Wrap(err, "listen for health checks")
 	}
 	s := &Server{
-		config: c,
-		conn:   u,
+		config:   c,
+		conn:     u,
+		listener: l,
 		http: &http.Server{
 			Handler:           http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
 			ReadHeaderTimeout: time.Second,
@@ -132,6 +136,7 @@
 func (s *Server) Close() {
 	close(s.done)
 	_ = s.http.Close()
+	_ = s.listener.Close()
 	_ = s.conn.Close()
 }
 
