Let one odd entry spoil nothing but itself

Reported by other operators: one entry of another writer, deeply nested, with a number too large or with a port out of range, and the machines that read the list ended again and again, or stopped following it.

Here no process ended, but balancers and agents stopped following a list: the decoder refuses a whole response because of one value that is nested more than 10,000 levels, and a page whose last entries have no name that can be decoded was asked for again. One malformed route or service made the whole configuration unusable. A start or a sequence of a heartbeat that is too large would never have been exceeded by the backend server's own; an idle timeout too large turned negative; a port out of range in a message between processes was cut to 16 bits, and so named another flow.

--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -90,16 +90,16 @@
 	return 0
 }
 
-// defaultColdRate is the number of new flows a second that a possibly cold backend
+// DefaultColdRate is the number of new flows a second that a possibly cold backend
 // server gets while its declared rate is not known. The users' rules allow each cold
 // backend server this many flows a second above its declared rate.
-const defaultColdRate = 5
+const DefaultColdRate = 5
 
 // coldRate returns the number of new flows a second that a possibly cold backend server
 // gets.
 func (m *Model) coldRate() float64 {
 	if !m.configured {
-		return defaultColdRate
+		return DefaultColdRate
 	}
 	return m.declared.ColdRate
 }
--- a/holder/effect.go
+++ b/holder/effect.go
@@ -105,6 +105,17 @@
 	Offers map[flow.Tuple]uint8
 }
 
+// addOffers adds the number of offered packets of a queried flow, unless it is held.
+func (r *ReplyEffect) addOffers(f QueriedFlow, e *entry) {
+	if e == nil || e.offered == 0 || e.holds(f.Ack) {
+		return
+	}
+	if r.Offers == nil {
+		r.Offers = map[flow.Tuple]uint8{}
+	}
+	r.Offers[f.Tuple] = e.offered
+}
+
 // RecordEffect writes an incarnation of the backend server to the registry before
 // the backend server takes flows.
 type RecordEffect struct {
--- a/holder/model.go
+++ b/holder/model.go
@@ -145,11 +145,15 @@
 }
 
 // handleConfig adopts a declared configuration, from the registry or from a balancer,
-// unless it is older than the present one.
+// unless it is older than the present one. Without an idle timeout in it, the present one
+// stays in force.
 func (m *Model) handleConfig(now time.Time, msg ConfigMsg) {
 	if m.configured && msg.Version < m.declared.Version {
 		return
 	}
+	if msg.IdleTimeout <= 0 {
+		msg.IdleTimeout = m.declared.IdleTimeout
+	}
 	m.declared = msg
 	if !m.configured {
 		m.configured = true
@@ -340,12 +344,7 @@
 	confirmed := true
 	for _, p := range msg.Flows {
 		e := m.flows[p.Tuple]
-		if e != nil && e.offered > 0 && !e.holds(p.Ack) {
-			if a.Offers == nil {
-				a.Offers = map[flow.Tuple]uint8{}
-			}
-			a.Offers[p.Tuple] = e.offered
-		}
+		a.addOffers(p, e)
 		switch {
 		case e != nil && e.holds(p.Ack):
 			a.Held = append(a.Held, p.Tuple)
--- a/holder/msg.go
+++ b/holder/msg.go
@@ -119,7 +119,8 @@
 	ColdRate float64
 	// MaxFlows is the number of flows that a backend server can hold; zero is no limit.
 	MaxFlows int
-	// IdleTimeout is the time without packets after which a flow counts as ended.
+	// IdleTimeout is the time without packets after which a flow counts as ended; zero is
+	// not declared.
 	IdleTimeout time.Duration
 }
 
--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -125,14 +125,9 @@
 			sleep(ctx, callRetryDelay)
 			continue
 		}
-		s := d.Services[a.config.Backend.Service]
-		a.healthPath.Store(&s.HealthPath)
-		a.update(holder.ConfigMsg{
-			Version:     uint64(d.Version),
-			ColdRate:    s.ColdRate,
-			MaxFlows:    s.MaxFlows,
-			IdleTimeout: d.IdleTimeout,
-		})
+		path := d.Services[a.config.Backend.Service].HealthPath
+		a.healthPath.Store(&path)
+		a.update(serviceConfig(d, a.config.Backend.Service))
 		sleep(ctx, declaredInterval)
 	}
 }
--- a/host/flow_snapshot.go
+++ b/host/flow_snapshot.go
@@ -216,8 +216,12 @@
 	var l []director.FlowHint
 	for _, h := range x.GetHolders() {
 		for _, f := range h.GetFlows() {
+			t, ok := relay.DecodeFlow(f)
+			if !ok {
+				continue
+			}
 			l = append(l, director.FlowHint{
-				Tuple:              relay.DecodeFlow(f),
+				Tuple:              t,
 				Ack:                f.GetAck(),
 				Owner:              h.GetHolder(),
 				BackendIncarnation: h.GetLife(),
--- a/host/message.go
+++ b/host/message.go
@@ -13,14 +13,29 @@
 	"github.com/lentilshed/lentilshed/routing"
 )
 
+// serviceConfig returns the configuration of one service. A service that is not declared, or
+// whose declaration is malformed, gets the default rate of new flows while it is cold.
+func serviceConfig(c *routing.Config, service string) holder.ConfigMsg {
+	s, ok := c.Services[service]
+	if !ok {
+		s.ColdRate = holder.DefaultColdRate
+	}
+	return holder.ConfigMsg{
+		Version:     uint64(c.Version),
+		ColdRate:    s.ColdRate,
+		MaxFlows:    s.MaxFlows,
+		IdleTimeout: c.IdleTimeout,
+	}
+}
+
 func encodeReportRequest(c *routing.Config, service string) *controlpb.Datagram {
 	x := &controlpb.Solicit{}
 	if c != nil {
-		s := c.Services[service]
-		x.ConfigVersion = uint64(c.Version)
+		s := serviceConfig(c, service)
+		x.ConfigVersion = s.Version
 		x.ColdRateMilli = uint64(s.ColdRate * milli)
 		x.MaxFlows = uint32(s.MaxFlows)
-		x.IdleTimeoutMs = milliseconds(c.IdleTimeout)
+		x.IdleTimeoutMs = milliseconds(s.IdleTimeout)
 	}
 	return &controlpb.Datagram{
 		Body: &controlpb.Datagram_Solicit{
@@ -114,8 +129,12 @@
 func decodeQueriedFlows(l []*controlpb.FlowTuple) []holder.QueriedFlow {
 	x := make([]holder.QueriedFlow, 0, len(l))
 	for _, f := range l {
+		t, ok := relay.DecodeFlow(f)
+		if !ok {
+			continue
+		}
 		x = append(x, holder.QueriedFlow{
-			Tuple:  relay.DecodeFlow(f),
+			Tuple:  t,
 			Ack:    f.GetAck(),
 			Offers: decodeOffers(f),
 		})
@@ -168,11 +187,12 @@
 	}
 	for _, l := range [...][]*controlpb.FlowTuple{a.GetUnheld(), a.GetUnsure()} {
 		for _, f := range l {
-			if n := decodeOffers(f); n > 0 {
+			t, ok := relay.DecodeFlow(f)
+			if n := decodeOffers(f); ok && n > 0 {
 				if m.Offers == nil {
 					m.Offers = map[flow.Tuple]uint8{}
 				}
-				m.Offers[relay.DecodeFlow(f)] = n
+				m.Offers[t] = n
 			}
 		}
 	}
--- a/relay/codec_test.go
+++ b/relay/codec_test.go
@@ -61,3 +61,18 @@
 		}
 	})
 }
+
+// TestFlowsWithPortsOutOfRangeAreLeftOut guards against a malformed message being applied to
+// another flow, whose port is the rest of the division by 65,536.
+func TestFlowsWithPortsOutOfRangeAreLeftOut(t *testing.T) {
+	good := flow.Tuple{
+		Caller:      1,
+		CallerPort:  4001,
+		Address:     2,
+		AddressPort: 443,
+	}
+	l := relay.EncodeFlows([]flow.Tuple{good, good, good})
+	l[0].CallerPort += 1 << 16
+	l[2].AddressPort += 1 << 16
+	require.Equal(t, []flow.Tuple{good}, relay.DecodeFlows(l))
+}
--- a/standin/usersstore/server.go
+++ b/standin/usersstore/server.go
@@ -152,15 +152,14 @@
 	s.record(kind, o, false)
 }
 
-func (s *Server) remove(kind, name string) bool {
+func (s *Server) remove(kind, name string) {
 	o := s.objects[kind][name]
 	if o == nil {
-		return false
+		return
 	}
 	s.revision++
 	delete(s.objects[kind], name)
 	s.record(kind, o, true)
-	return true
 }
 
 func (s *Server) record(kind string, o *object, deleted bool) {
