Refuse heartbeats without the start of the backend server

One heartbeat of another writer, without its start and under another id, and all open flows of the living backend server are reset at the server's next heartbeat.

Cause: the decoder required all fields but the start, and took a missing one for incarnation 0. The model left 0 out of the comparison with the present incarnation, so it counted as a new one: it reset the flows, and overwrote the record of the agent.

--- a/holder/msg.go
+++ b/holder/msg.go
@@ -44,8 +44,8 @@
 type HeartbeatMsg struct {
 	ID target.ID
 	// Incarnation is when the backend server started, in milliseconds since 1970. It
-	// orders the incarnations of backend servers at one address; it is zero if the
-	// heartbeat does not state it.
+	// orders the incarnations of backend servers at one address. Heartbeats with zero are
+	// ignored.
 	Incarnation uint64
 	// Sequence orders the heartbeats of one incarnation.
 	Sequence uint64
--- a/holder/server.go
+++ b/holder/server.go
@@ -87,15 +87,19 @@
 	return now.Before(s.coldUntil) || !s.announced || s.lostFlow
 }
 
-// handleHeartbeat handles a heartbeat of the backend server.
+// handleHeartbeat handles a heartbeat of the backend server. One that does not state its
+// incarnation is ignored: it does not show that the present one has ended.
 func (m *Model) handleHeartbeat(now time.Time, msg HeartbeatMsg) {
 	s := &m.server
 	switch {
+	case msg.Incarnation == 0:
+		m.stats.StaleHeartbeats++
+		return
 	case !s.exited && msg.Incarnation == s.incarnation && msg.ID == s.id:
 		if msg.Sequence <= s.sequence {
 			return
 		}
-	case msg.Incarnation != 0 && msg.Incarnation <= s.incarnation && now.Sub(s.lastHeartbeat) < staleIncarnationTimeout,
+	case msg.Incarnation <= s.incarnation && now.Sub(s.lastHeartbeat) < staleIncarnationTimeout,
 		m.precedesRecord(msg.Incarnation) && now.Sub(m.startedAt) < staleIncarnationTimeout:
 		m.stats.StaleHeartbeats++
 		return
