Do not take a slow agent for lost after one lost datagram

If one query was lost, the lookup ended with the reply of another agent, and nothing was sent to the agent for ten seconds, then the next lookup took it for lost after 60 ms and reset its flow.

Change: after a pause of two seconds without a query, the agent gets 400 ms for its next reply before its earlier silence counts. An agent that is queried all the while is taken for lost as before.

Evidence: TestOneLostDatagramDoesNotEndAFlow fails without the change (a reset after 100 ms) and passes with it.

--- a/director/lookup_test.go
+++ b/director/lookup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -398,3 +399,70 @@
 		Cause: director.CauseNoTarget,
 	})
 }
+
+// TestOneLostDatagramDoesNotEndAFlow guards against resets of flows at slow agents: a query was
+// lost, and the lookup ended with the reply of another agent. Nothing was sent to the agent for
+// some time, and its reply to the next query takes longer than the first retry of a lookup.
+func TestOneLostDatagramDoesNotEndAFlow(t *testing.T) {
+	const agents = 6
+	b := newTestBalancer()
+	var members []int
+	for n := 1; n <= agents; n++ {
+		members = append(members, n)
+		b.report(n, holder.AvailabilityOpen)
+	}
+	b.list(members...)
+	requested := map[netip.AddrPort]bool{}
+	tick := func() {
+		for _, e := range b.advance(50 * time.Millisecond) {
+			if x, ok := e.(director.ReportRequestEffect); ok {
+				requested[x.To] = true
+			}
+		}
+		for n := 1; n <= agents; n++ {
+			if requested[testMember(n).Address] {
+				b.report(n, holder.AvailabilityOpen)
+			}
+		}
+	}
+	for range 60 {
+		tick()
+	}
+	slow := slices.IndexFunc(members, func(n int) bool { return !requested[testMember(n).Address] }) + 1
+	require.NotZero(t, slow)
+	unheldElsewhere := func() (effects []director.Effect) {
+		for _, n := range members {
+			if n != slow {
+				effects = append(effects, b.unheld(n)...)
+			}
+		}
+		return effects
+	}
+
+	b.packet()
+	b.update(director.FlushMsg{})
+	b.update(director.ReplyMsg{
+		From: testMember(slow%agents + 1).Address,
+		Held: []flow.Tuple{testFlow},
+	})
+	for range 240 {
+		tick()
+	}
+	require.False(t, requested[testMember(slow).Address])
+	b.update(director.RejectMsg{
+		From:   testMember(slow%agents + 1).Address,
+		Reason: holder.RejectNotHeld,
+		Segment: segment.Segment{
+			Tuple: testFlow,
+			Flags: segment.Ack,
+			Ack:   700,
+		},
+	})
+	effects := unheldElsewhere()
+	for range 5 {
+		effects = append(effects, b.advance(50*time.Millisecond)...)
+		effects = append(effects, b.list(members...)...)
+		effects = append(effects, unheldElsewhere()...)
+	}
+	require.NotContains(t, effects, testReset)
+}
--- a/director/member.go
+++ b/director/member.go
@@ -40,6 +40,10 @@
 	// unansweredSince is when the agent's silence began, set by the first query or
 	// request since lastReceived; zero if there was none.
 	unansweredSince time.Time
+	// lastExpected is when a reply was last expected, and queriedAgainAt when that began
+	// again after a pause of queryPause.
+	lastExpected   time.Time
+	queriedAgainAt time.Time
 	// reportRequestedAt is when a report was last requested, and lastOpened when a new
 	// flow was last sent.
 	reportRequestedAt time.Time
@@ -76,6 +80,9 @@
 	// replyTimeout is the silence after which an agent that was queried is unresponsive:
 	// longer than the time after its start in which it leaves queries unanswered.
 	replyTimeout = 400 * time.Millisecond
+	// queryPause is the time without a query after which an agent's silence before is not
+	// taken for certain: several times the interval at which lookups repeat queries.
+	queryPause = 2 * time.Second
 	// unlistedTimeout is the silence after which an agent that is not listed is
 	// removed.
 	unlistedTimeout = 5 * time.Second
@@ -97,9 +104,13 @@
 
 // expectReply records a query or request to which the agent replies at once.
 func (m *member) expectReply(now time.Time) {
-	if m.unansweredSince.IsZero() {
+	switch {
+	case m.unansweredSince.IsZero():
 		m.unansweredSince = now.Add(-m.silence(now))
+	case now.Sub(m.lastExpected) > queryPause:
+		m.queriedAgainAt = now
 	}
+	m.lastExpected = now
 }
 
 // subscribe records that the agent reports to this balancer from now on, the first
@@ -113,9 +124,13 @@
 
 // silence returns how long nothing was received from an agent that should have sent
 // something: since the first query that it has not replied to, or since its latest
-// datagram when a report is due. It is zero for an agent that has no reason to send.
+// datagram when a report is due. It is zero for an agent that has no reason to send. If nothing
+// was expected for queryPause, only one datagram may have been lost before, so the agent gets
+// replyTimeout for its next reply.
 func (m *member) silence(now time.Time) time.Duration {
 	switch {
+	case !m.unansweredSince.IsZero() && now.Sub(m.queriedAgainAt) < replyTimeout:
+		return now.Sub(m.queriedAgainAt)
 	case !m.unansweredSince.IsZero():
 		return now.Sub(m.unansweredSince)
 	case m.lastReceived.IsZero():
