Rebuild a flow from a repeated SYN-ACK as a handshake, not as open

Read by the review, not shown by it: if two backend servers accept a first packet and the agent of one restarts, its next process took the SYN-ACK that its backend server repeats for a packet of an open flow, and replied that it holds the flow, which is open at the other one.

Change: such an entry is a handshake with the sequence number of the SYN-ACK, as it was before the restart; it is held once the caller acknowledges this number.

--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -17,8 +17,7 @@
 	}
 	e := m.flows[packet.Segment.Tuple]
 	if e == nil {
-		e = &entry{}
-		e.markOpen(now)
+		e = rebuiltEntry(now, packet.Segment)
 		m.addFlow(now, packet.Segment.Tuple, e)
 		m.stats.Rebuilt++
 	}
@@ -41,6 +40,20 @@
 	m.emit(ToCallerEffect(packet))
 }
 
+// rebuiltEntry returns the entry of a flow that was not in the table and of which the backend
+// server has sent a packet. It is open, unless the packet is a SYN-ACK: another backend server
+// may have accepted the same flow.
+func rebuiltEntry(now time.Time, s segment.Segment) *entry {
+	e := &entry{}
+	if s.SynAck() {
+		e.state = entrySynAckSent
+		e.synAckSequence = s.Sequence
+	} else {
+		e.markOpen(now)
+	}
+	return e
+}
+
 // updateState updates the state of a flow after a packet from the backend server.
 func (m *Model) updateState(now time.Time, e *entry, s segment.Segment) {
 	switch {
