Restart all processes in series in the soak, beside pauses and odd entries

Change: TestSeries restarts all agents and all balancers in turn, again and again, while the idle timeout is lowered and raised, removals are performed late, backend servers crash, other writers leave odd entries and send heartbeats, and half of the requests come after pauses of up to 9 s. Three packets at wrong servers since the last one at the flow's own are a violation, however much time lies between them. The numbers of agents and balancers are flags.

Existing seeds choose the same actions as before.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -15,6 +15,10 @@
 	callerHosts  = 4
 	activeFlows  = 40
 	requestPause = 250 * time.Millisecond
+	// maxPause bounds the long pauses between requests, which end pauseMargin before the
+	// idle timeout.
+	maxPause    = 9 * time.Second
+	pauseMargin = time.Second
 	// retransmitMin and retransmitMax bound the time until a request is retransmitted.
 	retransmitMin = 200 * time.Millisecond
 	retransmitMax = 1600 * time.Millisecond
@@ -44,6 +48,14 @@
 	// balancer is the number of the balancer to which the latest packet was sent.
 	balancer int
 	server   *backend
+	// pause is the time until the next request, and paused the time for which no packet had
+	// been sent before the latest request.
+	pause, paused time.Duration
+	// misroutedSince counts the packets that reached other backend servers, while all
+	// instances concerned were undisturbed, since one last reached its own, and
+	// misroutedAt is when the first of them did.
+	misroutedSince int
+	misroutedAt    time.Time
 	// misrouted holds the times of recent packets that reached another backend server.
 	misrouted []time.Time
 	ended     bool
@@ -66,6 +78,8 @@
 	conns    []*net.UDPConn
 	nextPort uint16
 	done     chan struct{}
+	// longPauses is set if some flows pause for seconds.
+	longPauses bool
 	// settling is set once tick must no longer open or close flows.
 	settling bool
 }
@@ -77,6 +91,8 @@
 		rand:     rand.New(rand.NewPCG(seed, 13)),
 		nextPort: 20_000,
 		done:     make(chan struct{}),
+
+		longPauses: seed >= firstSeriesSeed,
 	}
 	for i := range callerHosts {
 		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(r.proxy.address(9, i+1, packetPort)))
@@ -183,10 +199,22 @@
 	if !f.waiting {
 		f.waiting = true
 		f.requests++
+		f.paused = time.Since(f.lastSent)
+		f.pause = c.nextPause()
 	}
 	c.send(f, segment.Ack, requestSize)
 }
 
+// nextPause returns the time from one request of a flow to the next. In series, half of the
+// pauses last for seconds, but for less than the idle timeout.
+func (c *callers) nextPause() time.Duration {
+	if !c.longPauses || c.settling || c.rand.IntN(2) == 0 {
+		return requestPause
+	}
+	longest := min(maxPause, c.verifier.idleTimeout()-pauseMargin)
+	return time.Second + time.Duration(c.rand.Int64N(int64(longest-time.Second)))
+}
+
 // tick advances all flows that have not ended, and opens new ones up to activeFlows
 // unless settling is set. The verifier's lock must be held.
 func (c *callers) tick(now time.Time) {
@@ -227,7 +255,7 @@
 	case !f.waiting && now.After(f.closeAt) && !c.settling:
 		c.send(f, segment.Fin|segment.Ack, 0)
 		f.ended = true
-	case !f.waiting && idle > requestPause:
+	case !f.waiting && idle > f.pause:
 		c.request(f)
 	}
 }
--- a/soak/chaos_operator_test.go
+++ b/soak/chaos_operator_test.go
@@ -39,8 +39,7 @@
 		}
 		defer c.release(c.busyProcesses, -2)
 		c.verifier.recordEvent("route %d is added for %s", extraPort, d)
-		c.region.routePorts = []int{443, extraPort}
-		c.region.declareConfig()
+		c.region.changeConfig(func() { c.region.routePorts = []int{443, extraPort} })
 		c.verifier.mu.Lock()
 		delete(c.verifier.routeRemoved, extraPort)
 		c.verifier.routeAdded[extraPort] = time.Now()
@@ -49,8 +48,7 @@
 		c.verifier.mu.Lock()
 		delete(c.verifier.routeAdded, extraPort)
 		c.verifier.mu.Unlock()
-		c.region.routePorts = []int{443}
-		c.region.declareConfig()
+		c.region.changeConfig(func() { c.region.routePorts = []int{443} })
 		c.verifier.mu.Lock()
 		c.verifier.routeRemoved[extraPort] = time.Now()
 		c.verifier.mu.Unlock()
--- a/soak/chaos_test.go
+++ b/soak/chaos_test.go
@@ -28,12 +28,15 @@
 	// crashes of backend servers. No instance counts as disturbed, so that the guarantees
 	// are checked throughout.
 	plannedOnly bool
+	// inSeries is set for the seeds of TestSeries, which are planned as well.
+	inSeries bool
 }
 
 func newChaos(r *region, c *callers, seed uint64) *chaos {
 	return &chaos{
 		callers:       c,
-		plannedOnly:   seed%plannedOneIn == 0,
+		plannedOnly:   seed%plannedOneIn == 0 || seed >= firstSeriesSeed,
+		inSeries:      seed >= firstSeriesSeed,
 		region:        r,
 		verifier:      r.verifier,
 		rand:          rand.New(rand.NewPCG(seed, 17)),
@@ -45,6 +48,11 @@
 // actions returns the actions to choose from. Each makes its random choices before it
 // starts, so that a seed always gives the same actions in the same order.
 func (c *chaos) actions() []func() {
+	if c.inSeries {
+		return []func(){
+			c.reloadSettings, c.takeDomainOut, c.addAndRemoveRoute, c.crashServer, c.lowerIdleTimeout, c.storeRemovesLate, c.oddEntry, c.foreignHeartbeat, c.foreignHeartbeat,
+		}
+	}
 	if c.plannedOnly {
 		return []func(){
 			c.stopProcess, c.reloadSettings, c.drainServer, c.drainServer, c.takeDomainOut, c.takeDomainOut, c.addAndRemoveRoute, c.burst, c.crashServer, c.burstOnColdServer,
@@ -65,7 +73,11 @@
 // run starts actions until the time has passed, then waits for them to end.
 func (c *chaos) run(d time.Duration) {
 	l := c.actions()
-	for end := time.Now().Add(d); time.Now().Before(end); {
+	end := time.Now().Add(d)
+	if c.inSeries {
+		c.restartInSeries(end)
+	}
+	for time.Now().Before(end) {
 		l[c.rand.IntN(len(l))]()
 		time.Sleep(c.between(150*time.Millisecond, 900*time.Millisecond))
 	}
--- a/soak/region_test.go
+++ b/soak/region_test.go
@@ -24,9 +24,18 @@
 )
 
 // services maps the number of each agent's instance to the service of its backend server.
-var services = map[int]string{11: boards, 12: boards, 13: boards, 14: layouts, 15: layouts}
+// TestMain fills it.
+var services = map[int]string{}
 
-const balancerCount = 3
+// assignServices assigns three of five agents to one service and the others to the other one.
+func assignServices(agents int) {
+	for i := range agents {
+		services[firstAgent+i] = boards
+		if 5*i >= 3*agents {
+			services[firstAgent+i] = layouts
+		}
+	}
+}
 
 // region consists of a store, a router, balancers, agents and backend servers.
 type region struct {
@@ -40,9 +49,12 @@
 	// storeRefused holds the instances that get status 503 from the store.
 	storeRefused   map[int]bool
 	storeFrontends []*http.Server
-	configVersion  int
-	routePorts     []int
-	cancel         context.CancelFunc
+	// configMu guards the declared configuration.
+	configMu      sync.Mutex
+	configVersion int
+	routePorts    []int
+	idleTimeout   time.Duration
+	cancel        context.CancelFunc
 }
 
 // backend is one incarnation of a backend server.
@@ -69,6 +81,7 @@
 		servers:      map[int]*backend{},
 		storeRefused: map[int]bool{},
 		routePorts:   []int{443},
+		idleTimeout:  maxIdleTimeout,
 		cancel:       cancel,
 	}
 	r.verifier = newVerifier(r)
@@ -76,7 +89,7 @@
 	must(t, r.openProxy(ctx))
 	var balancers []router.Balancer
 	var seedAddresses []string
-	for n := 1; n <= balancerCount; n++ {
+	for n := 1; n <= *balancerCount; n++ {
 		balancers = append(balancers, router.Balancer{
 			PacketAddress: r.proxy.ownAddress(n, packetPort),
 			ReadyAddress:  r.proxy.ownAddress(n, readyPort),
@@ -84,7 +97,7 @@
 		seedAddresses = append(seedAddresses, fmt.Sprintf("%q", r.proxy.frontAddress(n, callsPort).String()))
 	}
 	seedList := strings.Join(seedAddresses, ",")
-	for n := 1; n <= balancerCount; n++ {
+	for n := 1; n <= *balancerCount; n++ {
 		r.startProcess(t, n, dir, binary, r.proxy.balancerSettings(n, seedList))
 	}
 	for n, service := range services {
@@ -140,7 +153,7 @@
 
 func (r *region) instances() []int {
 	var l []int
-	for n := 1; n <= balancerCount; n++ {
+	for n := 1; n <= *balancerCount; n++ {
 		l = append(l, n)
 	}
 	for n := firstAgent; n < firstAgent+len(services); n++ {
@@ -183,12 +196,24 @@
 // second.
 const coldRate = 10
 
-// declareConfig declares the next version of the configuration in the store.
+// maxIdleTimeout is the idle timeout that is declared, but while lowerIdleTimeout runs.
+const maxIdleTimeout = 15 * time.Second
+
+// changeConfig changes what is declared and declares it.
+func (r *region) changeConfig(change func()) {
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
+	change()
+	r.declareConfig()
+}
+
+// declareConfig declares the next version of the configuration in the store. The caller
+// holds configMu, or has not started any action yet.
 func (r *region) declareConfig() {
 	r.configVersion++
 	d := usersstore.Declaration{
 		Version:     r.configVersion,
-		IdleTimeout: 15 * time.Second,
+		IdleTimeout: r.idleTimeout,
 	}
 	for i, s := range []string{boards, layouts} {
 		d.Services = append(d.Services, usersstore.Service{
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,7 +20,11 @@
 	first   = flag.Uint64("first", 1, "first seed")
 	seeds   = flag.Int("seeds", 2, "number of seeds")
 	seconds = flag.Int("seconds", 5, "seconds of fault injection for each seed")
-	keep    = flag.String("keep", "", "directory for the logs of failed seeds")
+	series  = flag.Int("series", 1, "number of seeds with restarts in series")
+	// agentCount and balancerCount are the processes of each seed.
+	agentCount    = flag.Int("agents", 5, "number of agents")
+	balancerCount = flag.Int("balancers", 3, "number of balancers, up to 10")
+	keep          = flag.String("keep", "", "directory for the logs of failed seeds")
 )
 
 const (
@@ -41,6 +45,13 @@
 	// firstRegressionSlot keeps the networks of the regressions apart from those of the
 	// first 100 other seeds.
 	firstRegressionSlot = 100
+	// firstSeriesSlot does the same for the seeds of TestSeries, which begin at
+	// firstSeriesSeed.
+	firstSeriesSlot = 120
+	firstSeriesSeed = 1_000_000
+	// seriesFactor makes the seeds of TestSeries longer, so that each role is restarted
+	// more than once.
+	seriesFactor = 4
 )
 
 // TestSoak injects random faults into the real programs, one sequence for each seed.
@@ -55,6 +66,20 @@
 	}
 }
 
+// TestSeries restarts all agents and all balancers in turn, again and again, while other
+// planned operations and some faults of the store overlap with the restarts and callers keep
+// using flows, half of them with long pauses.
+func TestSeries(t *testing.T) {
+	t.Parallel()
+	for i := range *series {
+		seed := firstSeriesSeed + *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, seed, firstSeriesSlot+i, time.Duration(*seconds)*seriesFactor*time.Second)
+		})
+	}
+}
+
 // TestRegressions runs the seeds that once failed; testdata/regressions has the causes.
 func TestRegressions(t *testing.T) {
 	t.Parallel()
@@ -80,6 +105,7 @@
 // TestMain builds the programs once for all tests.
 func TestMain(m *testing.M) {
 	flag.Parse()
+	assignServices(*agentCount)
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/soak/verifier_test.go
+++ b/soak/verifier_test.go
@@ -46,6 +46,10 @@
 	// routeAdded and routeRemoved are when the store acknowledged that the routes of a
 	// port were added or removed.
 	routeAdded, routeRemoved map[int]time.Time
+	// lowIdleTimeout is the idle timeout that was declared before the latest, lower than it,
+	// and raisedAt when it was raised; the time is zero while lowIdleTimeout is declared.
+	lowIdleTimeout time.Duration
+	raisedAt       time.Time
 	// lastBurst is when callers last opened many flows at once.
 	lastBurst       time.Time
 	violations      []string
@@ -61,6 +65,7 @@
 		outSince:       map[string]time.Time{},
 		routeAdded:     map[int]time.Time{443: time.Now()},
 		routeRemoved:   map[int]time.Time{},
+		lowIdleTimeout: maxIdleTimeout,
 	}
 }
 
@@ -135,8 +140,10 @@
 	case a.Opened:
 		f.server = b
 		f.misrouted = nil
+		f.misroutedSince = 0
 	case a.Held:
 		f.misrouted = nil
+		f.misroutedSince = 0
 	case f.server != nil && f.server != b && f.server.running && !f.ended:
 		v.checkMisrouted(b, f, a)
 	}
@@ -169,17 +176,36 @@
 }
 
 // checkMisrouted checks a packet of an open flow that reached another backend server. Two
-// such packets in a row within misrouteWindow are allowed, and more after faults.
+// such packets are allowed until one reaches the flow's own, and more within misrouteWindow or
+// after faults.
 func (v *verifier) checkMisrouted(b *backend, f *callerFlow, a usersbackend.Arrival) {
+	calm := v.undisturbed(b.instance, f.balancer, f.server.instance)
+	if calm {
+		f.misroutedSince++
+		if f.misroutedSince == 1 {
+			f.misroutedAt = a.At
+		}
+		if f.misroutedSince >= 3 && a.At.Sub(f.misroutedAt) >= misrouteWindow {
+			v.addViolationLocked("%d packets of the open flow %s reached other backend servers within %s, and none its own: %v", f.misroutedSince, f.tuple, a.At.Sub(f.misroutedAt), f.path)
+		}
+	}
 	f.misrouted = append(f.misrouted, a.At)
 	for len(f.misrouted) > 0 && a.At.Sub(f.misrouted[0]) > misrouteWindow {
 		f.misrouted = f.misrouted[1:]
 	}
-	if len(f.misrouted) >= 3 && v.undisturbed(b.instance, f.balancer, f.server.instance) {
+	if len(f.misrouted) >= 3 && calm {
 		v.addViolationLocked("packets of the open flow %s keep reaching other backend servers: %v", f.tuple, f.path)
 	}
 }
 
+// idleTimeout returns the lowest idle timeout that may be in force. The lock must be held.
+func (v *verifier) idleTimeout() time.Duration {
+	if v.raisedAt.IsZero() || time.Since(v.raisedAt) < configBound {
+		return v.lowIdleTimeout
+	}
+	return maxIdleTimeout
+}
+
 // checkReset checks a reset that a caller received from the load balancer; sender is the
 // instance that sent it.
 func (v *verifier) checkReset(f *callerFlow, sender int) {
@@ -191,7 +217,8 @@
 		return
 	}
 	_, routeGone := v.routeRemoved[int(f.tuple.AddressPort)]
-	if s.running && s.Holds(f.tuple) && !routeGone && v.undisturbed(sender, f.balancer, s.instance) {
+	idle := f.paused > v.idleTimeout()
+	if s.running && s.Holds(f.tuple) && !routeGone && !idle && v.undisturbed(sender, f.balancer, s.instance) {
 		v.addViolationLocked("the flow %s, open at the backend server of %s, was reset by %s: %v", f.tuple, nameOf(s.instance), nameOf(sender), f.path)
 	}
 }
