--- a/holder/handover.go
+++ b/holder/handover.go
@@ -147,10 +147,12 @@
 	if other || m.noBackend() || m.KnowsAllFlows(now) {
 		return
 	}
+	added := 0
 	for _, f := range msg.Flows {
 		if m.flows[f.Tuple] != nil {
 			continue
 		}
+		added++
 		e := &entry{
 			lastAck:           f.Ack,
 			unverified:        true,
@@ -165,6 +167,12 @@
 		m.addFlow(now, f.Tuple, e)
 		m.stats.Hinted++
 	}
+	if added > 0 {
+		m.emit(LogEffect{
+			Event: "a balancer returned flows of an earlier process of this agent",
+			Count: added,
+		})
+	}
 }
 
 // dropHints removes the flows that were hinted for an earlier incarnation of the backend
--- a/holder/server.go
+++ b/holder/server.go
@@ -17,7 +17,10 @@
 	// firstSequence is the sequence number of the first heartbeat of the present incarnation
 	// that this process received.
 	firstSequence uint64
-	slots         uint32
+	// unrecordedLogged is set once it was logged that the present incarnation may have been
+	// served without a record.
+	unrecordedLogged bool
+	slots            uint32
 	// ready is set by a heartbeat that is not draining, or by a good health response while
 	// announced is not set. New flows also depend on mayOpen and on the load.
 	ready    bool
@@ -162,9 +165,24 @@
 // does not show this: while the registry is unavailable, agents serve without one.
 func (m *Model) compareIncarnations() {
 	s := &m.server
-	if s.announced && s.earlierRecordRead && s.earlierRecord != s.incarnation && s.firstSequence <= maxUnservedSequence {
-		s.noEarlierFlows = true
+	if !s.announced || !s.earlierRecordRead || s.earlierRecord == s.incarnation || s.noEarlierFlows {
+		return
+	}
+	if s.firstSequence > maxUnservedSequence {
+		if !s.unrecordedLogged {
+			s.unrecordedLogged = true
+			m.emit(LogEffect{
+				Event: "backend server has no record, but may have been served without one; unknown flows may be open",
+				Count: len(m.flows),
+			})
+		}
+		return
 	}
+	s.noEarlierFlows = true
+	m.emit(LogEffect{
+		Event: "backend server has started after the last record; unknown flows have ended",
+		Count: len(m.flows),
+	})
 }
 
 // handleRecorded allows new flows for an incarnation of the backend server.
@@ -194,6 +212,7 @@
 		})
 	}
 	s.firstSequence = msg.Sequence
+	s.unrecordedLogged = false
 	m.emit(LogEffect{
 		Event: "first heartbeat of backend server " + string(msg.ID) + " was received",
 		Count: len(m.flows),
--- a/soak/chaos_series_test.go
+++ b/soak/chaos_series_test.go
@@ -3,10 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"strings"
 	"time"
 
+	"github.com/lentilshed/lentilshed/standin/usersbackend"
 	"github.com/lentilshed/lentilshed/standin/usersstore"
 )
 
@@ -106,38 +106,14 @@
 	})
 }
 
-// foreignHeartbeat sends an agent a heartbeat of another writer in which one field is missing
-// or out of range.
+// foreignHeartbeat sends an agent a malformed heartbeat of another writer.
 func (c *chaos) foreignHeartbeat() {
-	n := c.agent()
-	fields := map[string]any{
-		"service":         services[n],
-		"address":         c.region.proxy.ownAddress(n, backendPort).String(),
-		"max_concurrency": 5,
-		"state":           "ready",
-		"warmup_left_ms":  0,
-		"seq_no":          1_000_000,
-		"born":            time.Now().UnixMilli(),
-	}
-	switch c.rand.IntN(4) {
-	case 0:
-		delete(fields, "born")
-	case 1:
-		fields["born"] = uint64(1) << 60
-	case 2:
-		fields["address"] = "127.0.0.1:70000"
-	case 3:
-		fields["warmup_left_ms"] = -1
-	}
-	b, _ := json.Marshal(fields)
+	n, i := c.agent(), c.rand.IntN(usersbackend.MalformedHeartbeats())
 	c.wait.Go(func() {
-		c.verifier.recordEvent("foreign heartbeat at %s: %s", nameOf(n), b)
-		u := fmt.Sprintf("http://%s/lentilshed/instances/i-other/heartbeat", c.region.proxy.ownAddress(n, callsPort))
-		h := http.Client{
-			Timeout: time.Second,
-		}
-		if p, err := h.Post(u, "application/json", strings.NewReader(string(b))); err == nil {
-			_ = p.Body.Close()
+		acked := c.region.server(n).SendMalformedHeartbeat(i)
+		c.verifier.recordEvent("malformed heartbeat %d at %s", i, nameOf(n))
+		if acked {
+			c.verifier.addViolation("malformed heartbeat %d was acknowledged by %s", i, nameOf(n))
 		}
 	})
 }
--- a/standin/usersbackend/server.go
+++ b/standin/usersbackend/server.go
@@ -190,13 +190,19 @@
 
 // sendHeartbeat sends one heartbeat and reports whether it was acknowledged.
 func (s *Server) sendHeartbeat() bool {
+	return s.postHeartbeat(fmt.Sprintf("i-%d", s.incarnation), s.heartbeat())
+}
+
+// heartbeat returns the fields of the next heartbeat.
+func (s *Server) heartbeat() map[string]any {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sequence++
 	state := "ready"
 	if s.draining {
 		state = "draining"
 	}
-	b, err := json.Marshal(map[string]any{
+	return map[string]any{
 		"service":         s.config.Service,
 		"address":         s.config.Address.String(),
 		"max_concurrency": slots,
@@ -204,12 +210,16 @@
 		"warmup_left_ms":  max(0, (s.config.Warmup - time.Since(time.UnixMilli(s.incarnation))).Milliseconds()),
 		"seq_no":          s.sequence,
 		"born":            s.incarnation,
-	})
-	s.mu.Unlock()
+	}
+}
+
+// postHeartbeat sends one heartbeat under an id and reports whether it was acknowledged.
+func (s *Server) postHeartbeat(id string, fields map[string]any) bool {
+	b, err := json.Marshal(fields)
 	if err != nil {
 		return false
 	}
-	p, err := heartbeatClient.Post(fmt.Sprintf("%s/lentilshed/instances/i-%d/heartbeat", s.config.HeartbeatURL, s.incarnation), "application/json", bytes.NewReader(b))
+	p, err := heartbeatClient.Post(fmt.Sprintf("%s/lentilshed/instances/%s/heartbeat", s.config.HeartbeatURL, id), "application/json", bytes.NewReader(b))
 	if err != nil {
 		return false
 	}
@@ -217,6 +227,37 @@
 	return p.StatusCode == http.StatusOK
 }
 
+// malformedFields are what other writers put into a heartbeat; nil stands for a missing field.
+var malformedFields = []struct {
+	name  string
+	value any
+}{
+	{name: "born"},
+	{name: "born", value: uint64(1) << 60},
+	{name: "born", value: "yesterday"},
+	{name: "address", value: "127.0.0.1:70000"},
+	{name: "warmup_left_ms", value: -1},
+	{name: "seq_no", value: 1e300},
+}
+
+// MalformedHeartbeats is the number of heartbeats that SendMalformedHeartbeat can send.
+func MalformedHeartbeats() int {
+	return len(malformedFields)
+}
+
+// SendMalformedHeartbeat sends the heartbeat of another writer, under an id of its own, in
+// which one field is missing or malformed. It reports whether it was acknowledged.
+func (s *Server) SendMalformedHeartbeat(i int) bool {
+	h := s.heartbeat()
+	f := malformedFields[i]
+	if f.value == nil {
+		delete(h, f.name)
+	} else {
+		h[f.name] = f.value
+	}
+	return s.postHeartbeat("i-other", h)
+}
+
 func (s *Server) serve() {
 	b := make([]byte, 2048)
 	for {
