Check every 25 s that the record of an agent is in the registry

Change: an agent reads its record every 25 s from the cache of the store, at a tenth of the price of a call, and writes it again if it is missing or has another incarnation.

--- a/host/agent.go
+++ b/host/agent.go
@@ -28,7 +28,10 @@
 	Balancers []netip.AddrPort
 	Codec     PacketCodec
 	Registry  Registry
-	Log       func(LogEvent)
+	// RecordCheckInterval is the time between two checks that the record of the agent is
+	// still in the registry; zero or less is the default.
+	RecordCheckInterval time.Duration
+	Log                 func(LogEvent)
 	// Hop records in a trace that a packet of a flow passed here; nil records nothing.
 	Hop func(t flow.Tuple, name string)
 }
@@ -48,9 +51,11 @@
 	// recorded; incarnationAt is when the latest was taken from the queue.
 	incarnations  chan uint64
 	incarnationAt time.Time
-	healthPath    atomic.Pointer[string]
-	cancel        context.CancelFunc
-	goroutines    sync.WaitGroup
+	// recorded is the incarnation that the registry has, as far as is known.
+	recorded   uint64
+	healthPath atomic.Pointer[string]
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
 }
 
 const (
@@ -63,6 +68,9 @@
 	// the registry may be unavailable for long. It is longer than the interval between
 	// two heartbeats, from which the next process concludes what this one has served.
 	registerTimeout = 1500 * time.Millisecond
+	// defaultRecordCheckInterval bounds the time for which the record of an agent may be
+	// missing, for example because another writer has removed it.
+	defaultRecordCheckInterval = 25 * time.Second
 	// finalReports is the number of reports that an agent sends when it stops, as some
 	// are lost, and finalReportDelay is the time after each.
 	finalReports     = 3
@@ -79,6 +87,9 @@
 
 // NewAgent opens the sockets and starts the goroutines of an agent.
 func NewAgent(c AgentConfig) (*Agent, error) {
+	if c.RecordCheckInterval <= 0 {
+		c.RecordCheckInterval = defaultRecordCheckInterval
+	}
 	now := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -32,6 +32,7 @@
 		incarnation, err := a.config.Registry.RecordedIncarnation(c, a.config.Name)
 		cancel()
 		if err == nil {
+			a.recorded = incarnation
 			a.update(holder.EarlierRecordMsg{
 				Incarnation: incarnation,
 			})
@@ -42,12 +43,20 @@
 	}
 }
 
-// nextIncarnation waits for an incarnation of the backend server other than the last.
+// nextIncarnation waits for an incarnation of the backend server other than the last, or until
+// the record of the agent is missing.
 func (a *Agent) nextIncarnation(ctx context.Context, last uint64) (uint64, bool) {
+	t := time.NewTicker(a.config.RecordCheckInterval)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return 0, false
+		case <-t.C:
+			if a.recorded != 0 && !a.isRecorded(ctx, a.recorded) {
+				a.logError("record of this agent is missing or has another incarnation; writing it again", nil)
+				return a.recorded, true
+			}
 		case incarnation := <-a.incarnations:
 			if incarnation != last {
 				a.incarnationAt = time.Now()
@@ -57,6 +66,14 @@
 	}
 }
 
+// isRecorded reports whether the registry has the record of an incarnation, as far as is known.
+func (a *Agent) isRecorded(ctx context.Context, incarnation uint64) bool {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	x, err := a.config.Registry.CachedIncarnation(c, a.config.Name)
+	return err != nil || x == incarnation
+}
+
 func (a *Agent) latestIncarnation(incarnation uint64) uint64 {
 	select {
 	case x := <-a.incarnations:
@@ -78,6 +95,7 @@
 		})
 	}
 	if err == nil {
+		a.recorded = incarnation
 		return true
 	}
 	a.logError("cannot record the incarnation of the backend server; retrying", err)
--- a/host/registry.go
+++ b/host/registry.go
@@ -25,9 +25,11 @@
 	// Balancers lists the balancers from a cache.
 	Balancers func(context.Context) ([]BalancerRecord, error)
 	// RegisterAgent records an agent and the incarnation of its backend server;
-	// RecordedIncarnation reads that incarnation, zero if there is no record.
+	// RecordedIncarnation and CachedIncarnation read that incarnation, zero if there is no
+	// record.
 	RegisterAgent       func(ctx context.Context, m director.Member, incarnation uint64) error
 	RecordedIncarnation func(ctx context.Context, name string) (uint64, error)
+	CachedIncarnation   func(ctx context.Context, name string) (uint64, error)
 	RegisterBalancer    func(context.Context, BalancerRecord) error
 	// SaveFlows stores a balancer's snapshot of flow hints, LoadFlows returns it, nil if
 	// there is none, and DeleteFlows deletes it. Snapshots are kept by failure domain;
