Count heartbeats before an agent serves without a record

Change: without a record, the backend server takes flows only after its second heartbeat that this process received, as well as after 1.5 s. Flows that the backend server has returned are handed over as not held, so that the next process can say so.

Found by reading the change.

--- a/director/world_test.go
+++ b/director/world_test.go
@@ -360,7 +360,9 @@
 		w.schedule(5*time.Millisecond, func() {
 			if n.incarnation == incarnation && !n.down {
 				n.recorded = x.Incarnation
-				w.updateAgent(n, holder.RecordedMsg(x))
+				w.updateAgent(n, holder.RecordedMsg{
+					Incarnation: x.Incarnation,
+				})
 			}
 		})
 	case holder.ProbeEffect:
--- a/holder/handover.go
+++ b/holder/handover.go
@@ -71,6 +71,7 @@
 			unconfirmed = append(unconfirmed, f)
 		case e.offered > 0 && e.state != entryEnded:
 			f.Offers = e.offered
+			f.Unheld = e.state == entryUnheld
 			unconfirmed = append(unconfirmed, f)
 		}
 	}
@@ -158,10 +159,13 @@
 			unverified:        true,
 			hintedIncarnation: msg.BackendIncarnation,
 		}
-		if f.Offers > 0 {
+		e.offered = f.Offers
+		switch {
+		case f.Unheld:
+			e.state = entryUnheld
+		case f.Offers > 0:
 			e.state = entryOffered
-			e.offered = f.Offers
-		} else {
+		default:
 			e.markOpen(now)
 		}
 		m.addFlow(now, f.Tuple, e)
--- a/holder/msg.go
+++ b/holder/msg.go
@@ -99,8 +99,10 @@
 	Tuple flow.Tuple
 	Ack   uint32
 	// Offers is set for a flow of a handover that the backend server is not known to hold:
-	// the number of its packets that were sent to the backend server.
+	// the number of its packets that were sent to the backend server. Unheld is set if the
+	// backend server has returned one of them.
 	Offers uint8
+	Unheld bool
 }
 
 // HintsMsg lists flows that an earlier process of this agent had handed over or confirmed to
@@ -134,10 +136,11 @@
 }
 
 // RecordedMsg reports that an incarnation of the backend server was written to the
-// registry, or that this has failed for too long, so that the backend server may take
-// flows.
+// registry, so that the backend server may take flows. Failed is set if that has failed for
+// too long instead.
 type RecordedMsg struct {
 	Incarnation uint64
+	Failed      bool
 }
 
 // ResumedMsg reports that the agent's process was paused and has resumed.
--- a/holder/report.go
+++ b/holder/report.go
@@ -147,7 +147,8 @@
 	if len(to) == 0 && now.Sub(m.configCheckedAt) >= configCheckInterval {
 		if l := m.subscribers.Known(now); len(l) > 0 {
 			m.configChecks++
-			to = l[m.configChecks%len(l):][:1]
+			i := m.configChecks % len(l)
+			to = l[i : i+1]
 		}
 	}
 	if len(to) > 0 {
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -137,6 +137,7 @@
 	case "recorded":
 		return holder.RecordedMsg{
 			Incarnation: uint64(number(t, x, "incarnation")),
+			Failed:      x.HasArg("failed"),
 		}
 	case "config":
 		return scriptConfig(t, x)
@@ -172,6 +173,7 @@
 					Tuple:  scriptFlow(number(t, x, "flow")),
 					Ack:    uint32(number(t, x, "upto")),
 					Offers: uint8(number(t, x, "offers")),
+					Unheld: x.HasArg("unheld"),
 				},
 			},
 			BackendIncarnation: uint64(number(t, x, "incarnation")),
--- a/holder/server.go
+++ b/holder/server.go
@@ -17,6 +17,9 @@
 	// firstSequence is the sequence number of the first heartbeat of the present incarnation
 	// that this process received.
 	firstSequence uint64
+	// heartbeats is the number of heartbeats of the present incarnation that this process
+	// has received.
+	heartbeats uint64
 	// unrecordedLogged is set once it was logged that the present incarnation may have been
 	// served without a record.
 	unrecordedLogged bool
@@ -111,6 +114,7 @@
 	}
 	previous := m.availability()
 	s.announced = true
+	s.heartbeats++
 	s.id = msg.ID
 	s.incarnation = msg.Incarnation
 	s.sequence = msg.Sequence
@@ -155,9 +159,9 @@
 }
 
 // maxUnservedSequence is the highest sequence number of a first heartbeat that shows that no
-// earlier agent process sent flows to the incarnation without a record of it. An agent waits
-// for longer than a heartbeat interval before it serves without a record, so it has received
-// two heartbeats by then, and its next process receives the third one at the earliest.
+// earlier agent process sent flows to the incarnation without a record of it. An agent receives
+// as many heartbeats of an incarnation before it serves it without a record, so its next process
+// receives a later one.
 const maxUnservedSequence = 2
 
 // compareIncarnations concludes that no flow is missing from the table when the backend server
@@ -185,10 +189,15 @@
 	})
 }
 
-// handleRecorded allows new flows for an incarnation of the backend server.
+// handleRecorded allows new flows for an incarnation of the backend server. Without a record,
+// it waits for as many heartbeats as maxUnservedSequence requires.
 func (m *Model) handleRecorded(now time.Time, msg RecordedMsg) {
+	s := &m.server
+	if msg.Failed && (msg.Incarnation != s.incarnation || s.heartbeats < maxUnservedSequence) {
+		return
+	}
 	previous := m.availability()
-	m.server.recordedIncarnation = msg.Incarnation
+	s.recordedIncarnation = msg.Incarnation
 	m.reportChange(now, previous)
 }
 
@@ -212,6 +221,7 @@
 		})
 	}
 	s.firstSequence = msg.Sequence
+	s.heartbeats = 0
 	s.unrecordedLogged = false
 	m.emit(LogEffect{
 		Event: "first heartbeat of backend server " + string(msg.ID) + " was received",
--- a/host/agent.go
+++ b/host/agent.go
@@ -65,8 +65,7 @@
 	// maxIncarnations bounds the incarnations that wait to be recorded.
 	maxIncarnations = 16
 	// registerTimeout is the time after which an agent serves without a record, as
-	// the registry may be unavailable for long. It is longer than the interval between
-	// two heartbeats, from which the next process concludes what this one has served.
+	// the registry may be unavailable for long.
 	registerTimeout = 1500 * time.Millisecond
 	// defaultRecordCheckInterval bounds the time for which the record of an agent may be
 	// missing, for example because another writer has removed it.
@@ -156,8 +155,8 @@
 	return a.model.Stats()
 }
 
-// Stop reports to balancers that the agent is stopping, which ends new flows to it, and
-// ends it once no caller waits for the backend server or after maxDrainTime. It removes
+// Stop reports to balancers that the agent is stopping, which ends new flows to it, hands its
+// open flows over to some of them, and ends it once no caller waits for the backend server or after maxDrainTime. It removes
 // the agent's record if the backend server has ended before.
 func (a *Agent) Stop() {
 	for range finalReports {
--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -92,6 +92,7 @@
 	if err == nil || time.Since(a.incarnationAt) > registerTimeout {
 		a.update(holder.RecordedMsg{
 			Incarnation: incarnation,
+			Failed:      err != nil,
 		})
 	}
 	if err == nil {
--- a/host/message.go
+++ b/host/message.go
@@ -123,6 +123,7 @@
 	for _, f := range l {
 		t := relay.EncodeFlow(f.Tuple, f.Ack)
 		t.Offers = uint32(f.Offers)
+		t.Unheld = f.Unheld
 		x = append(x, t)
 	}
 	return x
@@ -139,6 +140,7 @@
 			Tuple:  t,
 			Ack:    f.GetAck(),
 			Offers: decodeOffers(f),
+			Unheld: f.GetUnheld(),
 		})
 	}
 	return x
