--- a/holder/model.go
+++ b/holder/model.go
@@ -60,6 +60,8 @@
 	// counts the reports that were not sent to subscribers.
 	configCheckedAt time.Time
 	configChecks    int
+	// evictedAt is when an open flow was last evicted from the full table.
+	evictedAt time.Time
 	// idleFlows is the number of flows that were silent for longer than the idle timeout at
 	// the latest sweep.
 	idleFlows int
@@ -177,11 +179,15 @@
 	}
 }
 
-// KnowsAllFlows reports whether every flow of the backend server is in the table,
-// except evicted ones: no earlier agent process has sent flows to the backend server's
-// incarnation, or this one has run for longer than a flow may stay silent.
+// KnowsAllFlows reports whether every flow of the backend server is in the table: no earlier
+// agent process has sent flows to the backend server's incarnation, or this one has run for
+// longer than a flow may stay silent, and no open flow was evicted within that time.
 func (m *Model) KnowsAllFlows(now time.Time) bool {
-	return m.server.noEarlierFlows || now.Sub(m.startedAt) > m.declared.IdleTimeout+idleMargin
+	silence := m.declared.IdleTimeout + idleMargin
+	if !m.evictedAt.IsZero() && now.Sub(m.evictedAt) <= silence {
+		return false
+	}
+	return m.server.noEarlierFlows || now.Sub(m.startedAt) > silence
 }
 
 // unsureDelay is the time after the start in which an agent does not reply that it is
@@ -272,7 +278,7 @@
 		m.removeFlow(t, old)
 	}
 	if len(m.flows) >= m.config.MaxEntries {
-		m.evictOne()
+		m.evictOne(now)
 	}
 	e.lastPacket = now
 	m.flows[t] = e
@@ -281,7 +287,7 @@
 // evictSample is the number of flows among which the one to evict is chosen.
 const evictSample = 8
 
-func (m *Model) evictOne() {
+func (m *Model) evictOne(now time.Time) {
 	var oldest flow.Tuple
 	var found *entry
 	n := 0
@@ -295,10 +301,14 @@
 			break
 		}
 	}
-	if found != nil {
-		m.stats.Evicted++
-		m.removeFlow(oldest, found)
+	if found == nil {
+		return
+	}
+	m.stats.Evicted++
+	if found.state == entryOpen && !m.isIdle(now, found) {
+		m.evictedAt = now
 	}
+	m.removeFlow(oldest, found)
 }
 
 // resetAll ends the flows of an incarnation of the backend server that was last seen
