--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	callerHosts  = 4
-	activeFlows  = 40
-	requestPause = 250 * time.Millisecond
+	callerHosts = 4
+	// flowsPerAgent is the number of open flows for each agent of the region.
+	flowsPerAgent = 8
+	requestPause  = 250 * time.Millisecond
 	// maxPause bounds the long pauses between requests, which end pauseMargin before the
 	// idle timeout.
 	maxPause    = 9 * time.Second
@@ -215,7 +216,7 @@
 	return time.Second + time.Duration(c.rand.Int64N(int64(longest-time.Second)))
 }
 
-// tick advances all flows that have not ended, and opens new ones up to activeFlows
+// tick advances all flows that have not ended, and opens new ones up to flowsPerAgent for each agent
 // unless settling is set. The verifier's lock must be held.
 func (c *callers) tick(now time.Time) {
 	active := 0
@@ -226,7 +227,7 @@
 		active++
 		c.advance(f, now)
 	}
-	for ; active < activeFlows && !c.settling; active++ {
+	for ; active < flowsPerAgent**agentCount && !c.settling; active++ {
 		c.open(c.rand.IntN(2), 443, c.lifetime())
 	}
 }
