Report an agent as open when its record is read after the health response

Agent-14 was restarted as planned; balancer-1 still had it as draining five seconds later, and refused flows.

Cause: if the good health response comes before the record of the earlier process is read, the record makes the agent available, but this change was not reported. The first heartbeat changed nothing more, so only balancers that request reports learned of it. The others kept what the stopping process had reported.

Evidence: holder/testdata/record_after_probe fails without the change (no report at the record).

--- a/holder/server.go
+++ b/holder/server.go
@@ -138,18 +138,17 @@
 	if s.earlierRecordRead {
 		return
 	}
+	previous := m.availability()
 	s.earlierRecord = msg.Incarnation
 	s.earlierRecordRead = true
 	if s.announced && m.precedesRecord(s.incarnation) {
 		// The heartbeat was delayed: a later incarnation had already been recorded. The
 		// next heartbeat shows which one runs.
-		previous := m.availability()
 		s.announced = false
 		s.ready = false
-		m.reportChange(now, previous)
-		return
 	}
 	m.compareIncarnations()
+	m.reportChange(now, previous)
 }
 
 // precedesRecord reports whether an earlier agent process recorded a later incarnation of
