Count a backend server as unavailable while its agent is restarted in the soak

Seen: of TestSeries, three refusals at 30:24.78 "with 2 backend servers available". The logs show that it is allowed: of the three agents of the service, agent-11 was in a domain out of service, agent-12 had been asked to stop at 24.313, started again at 24.777 and reported itself open at 24.780, one millisecond before the refusals, and agent-13 alone was available, with some twenty flows. While its agent is restarted, a backend server takes no new flow.

Change: the check of refusals leaves a backend server out from the request to stop its agent until one heartbeat interval after the agent's start, as its agent needs a heartbeat to know it.

--- a/soak/chaos_series_test.go
+++ b/soak/chaos_series_test.go
@@ -46,9 +46,11 @@
 			continue
 		}
 		c.verifier.recordEvent("stop %s in turn", nameOf(n))
+		c.verifier.markRestarting(time.Now().Add(stopTimeout), n)
 		c.region.processes[n].stop()
 		time.Sleep(seriesDowntime)
 		c.restart(n)
+		c.verifier.markRestarting(time.Now(), n)
 		c.release(c.busyProcesses, n)
 		time.Sleep(seriesGap)
 	}
