Check the configuration with a datagram of its own, and rarely in large regions

Change: a datagram of 37 bytes with the version only. Above 150 balancers the interval grows with their number.

--- a/director/members.go
+++ b/director/members.go
@@ -29,8 +29,21 @@
 	}
 	m.logChange(agent, msg)
 	m.applyReport(now, agent, msg)
-	if m.declared != nil && msg.ConfigVersion < uint64(m.declared.Version) {
-		// The configuration comes with the request.
+	m.updateConfigOf(now, agent, msg.ConfigVersion)
+}
+
+// handleConfigCheck sends an agent the configuration if it knows an earlier one.
+func (m *Model) handleConfigCheck(now time.Time, msg ConfigCheckMsg) {
+	if agent := m.membersByAddress[msg.From]; agent != nil {
+		agent.received(now)
+		m.updateConfigOf(now, agent, msg.Version)
+	}
+}
+
+// updateConfigOf sends an agent the configuration, which comes with a report request, if the
+// version that it knows is an earlier one.
+func (m *Model) updateConfigOf(now time.Time, agent *member, version uint64) {
+	if m.declared != nil && version < uint64(m.declared.Version) {
 		m.requestReport(now, agent)
 	}
 }
--- a/director/model.go
+++ b/director/model.go
@@ -128,6 +128,8 @@
 		m.handleHandover(now, x)
 	case HandoverRequestMsg:
 		m.handleHandoverRequest(now, x)
+	case ConfigCheckMsg:
+		m.handleConfigCheck(now, x)
 	case ConfigMsg:
 		m.adoptConfig(x)
 	case DomainsMsg:
--- a/director/msg.go
+++ b/director/msg.go
@@ -50,6 +50,12 @@
 	BackendIncarnation uint64
 }
 
+// ConfigCheckMsg has the version of the configuration that an agent knows.
+type ConfigCheckMsg struct {
+	From    netip.AddrPort
+	Version uint64
+}
+
 // ConfigMsg is an accepted configuration. It is ignored when it is not newer than the
 // one in force.
 type ConfigMsg struct {
--- a/director/report_request_test.go
+++ b/director/report_request_test.go
@@ -178,8 +178,8 @@
 }
 
 // TestOlderConfigurationIsReplaced guards against agents that keep an idle timeout that is no
-// longer in force: the report of an agent with an older configuration is answered with a
-// report request, which carries the present one.
+// longer in force: the report or the check of an agent with an older configuration is answered
+// with a report request, which carries the present one.
 func TestOlderConfigurationIsReplaced(t *testing.T) {
 	b := newTestBalancer()
 	b.update(configOf(5, testService))
@@ -194,18 +194,27 @@
 		b.now = b.now.Add(time.Second)
 		m := testMember(1)
 		m.Sequence = uint64(b.now.UnixMilli())
-		sent := false
-		for _, e := range b.update(director.ReportMsg{
-			Member: m,
-			Report: holder.Report{
-				Availability:  holder.AvailabilityOpen,
-				ConfigVersion: x.version,
+		for _, msg := range []director.Msg{
+			director.ReportMsg{
+				Member: m,
+				Report: holder.Report{
+					Availability:  holder.AvailabilityOpen,
+					ConfigVersion: x.version,
+				},
+			},
+			director.ConfigCheckMsg{
+				From:    m.Address,
+				Version: x.version,
 			},
-		}) {
-			if r, ok := e.(director.ReportRequestEffect); ok {
-				sent = r.To == m.Address
+		} {
+			b.now = b.now.Add(400 * time.Millisecond)
+			sent := false
+			for _, e := range b.update(msg) {
+				if r, ok := e.(director.ReportRequestEffect); ok {
+					sent = r.To == m.Address
+				}
 			}
+			require.Equal(t, x.sent, sent, "version %d, %T", x.version, msg)
 		}
-		require.Equal(t, x.sent, sent, "version %d", x.version)
 	}
 }
--- a/holder/model.go
+++ b/holder/model.go
@@ -56,8 +56,8 @@
 	reportedFlows int
 	// lastReport is when the latest report to the subscribers was due.
 	lastReport time.Time
-	// configCheckedAt is when a balancer was last sent a regular report, and configChecks
-	// counts the reports that were not sent to subscribers.
+	// configCheckedAt is when a balancer was last sent a regular report or a check of the
+	// configuration, and configChecks counts the checks.
 	configCheckedAt time.Time
 	configChecks    int
 	// evictedAt is when an open flow was last evicted from the full table.
--- a/holder/report.go
+++ b/holder/report.go
@@ -129,34 +129,13 @@
 	burst := grown > minGrowth && grown > m.reportedFlows/growthDivisor
 	if burst || now.Sub(m.lastReport) >= ReportInterval {
 		m.lastReport = now
-		m.sendReport(m.reportRecipients(now))
+		to := m.subscribers.Recipients(now)
+		m.sendReport(to)
+		m.checkConfig(now, len(to) > 0)
 		m.flushConfirmations()
 	}
 }
 
-// configCheckInterval is the time between two reports of an agent without subscribers. The
-// balancer that gets one sends the declared configuration if it has a newer one, so it is a
-// small part of the time within which a configuration must be in force.
-const configCheckInterval = time.Second
-
-// reportRecipients returns the subscribers, or one other balancer at a time, which differs
-// each time, if none was sent a report for configCheckInterval. Without reports, an agent would
-// not learn of a new configuration for long.
-func (m *Model) reportRecipients(now time.Time) []netip.AddrPort {
-	to := m.subscribers.Recipients(now)
-	if len(to) == 0 && now.Sub(m.configCheckedAt) >= configCheckInterval {
-		if l := m.subscribers.Known(now); len(l) > 0 {
-			m.configChecks++
-			i := m.configChecks % len(l)
-			to = l[i : i+1]
-		}
-	}
-	if len(to) > 0 {
-		m.configCheckedAt = now
-	}
-	return to
-}
-
 // reportToAll sends a report of a change, such as one that ends flows or stops
 // admission, to all balancers.
 func (m *Model) reportToAll(now time.Time) {
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -275,6 +275,8 @@
 		return s
 	case holder.ReportEffect:
 		return "report"
+	case holder.ConfigCheckEffect:
+		return fmt.Sprintf("check configuration %d", x.Version)
 	case holder.HandoverEffect:
 		return fmt.Sprintf("hand over %d flows of incarnation %d to %d balancers", len(x.Flows), x.BackendIncarnation, len(x.To))
 	case holder.HandoverRequestEffect:
--- a/host/agent_peer.go
+++ b/host/agent_peer.go
@@ -88,6 +88,8 @@
 		a.sendControl(encodeReply(x), []netip.AddrPort{x.To})
 	case holder.ReportEffect:
 		a.sendReport(now, x.To)
+	case holder.ConfigCheckEffect:
+		a.sendControl(encodeConfigCheck(x), []netip.AddrPort{x.To})
 	case holder.HandoverEffect:
 		a.sendControl(encodeHandover(x), x.To)
 	case holder.HandoverRequestEffect:
--- a/host/balancer_peer.go
+++ b/host/balancer_peer.go
@@ -60,6 +60,11 @@
 		b.update(director.HandoverRequestMsg{
 			From: from,
 		})
+	case *controlpb.Datagram_ConfigCheck:
+		b.update(director.ConfigCheckMsg{
+			From:    from,
+			Version: x.ConfigCheck.GetConfigVersion(),
+		})
 	case *controlpb.Datagram_Digest:
 		b.updateFreshness(decodeDigest(from, x.Digest))
 	}
--- a/host/message.go
+++ b/host/message.go
@@ -110,6 +110,16 @@
 	}
 }
 
+func encodeConfigCheck(e holder.ConfigCheckEffect) *controlpb.Datagram {
+	return &controlpb.Datagram{
+		Body: &controlpb.Datagram_ConfigCheck{
+			ConfigCheck: &controlpb.ConfigCheck{
+				ConfigVersion: e.Version,
+			},
+		},
+	}
+}
+
 func handoverRequest() *controlpb.Datagram {
 	return &controlpb.Datagram{
 		Body: &controlpb.Datagram_HandoverRequest{
--- a/host/message_test.go
+++ b/host/message_test.go
@@ -90,8 +90,13 @@
 	// Package freshness tests that a balancer sends at most digestsPerSecond; as many
 	// come in. One broadcast a second, to five peers, names the watchers.
 	digests := int(2 * (digestsPerSecond*float64(digest) + 5*float64(digestWithWatchers-digest)))
+	// Ten agents for each balancer check their configuration.
+	checks := 10 * sizeOf(t, encodeConfigCheck(holder.ConfigCheckEffect{
+		Version: 1_000_000,
+	})) * int(time.Second) / int(holder.ConfigCheckInterval(1875))
+	t.Logf("a balancer: checks %d", checks)
 	t.Logf("a balancer: sentinels %d, digests %d, snapshots %d bytes a second", sentinels, digests, snapshotRate)
-	require.LessOrEqual(t, sentinels+digests+snapshotRate, controlBudget, "a balancer")
+	require.LessOrEqual(t, sentinels+digests+checks+snapshotRate, controlBudget, "a balancer")
 
 	// The traffic of the sentinels of 1,875 balancers, 3 each, is shared by 18,750 agents.
 	reports := sentinels * 1875 / 18750
