Tell a backend server's age by its cold time after a loss of power

Change: the declared warm-up less the remaining cold time is the backend server's age at that heartbeat. Below 1.5 s, no earlier process can have served it without a record. A backend server that turns cold again has sent more than the ten heartbeats up to which this counts.

--- a/holder/model.go
+++ b/holder/model.go
@@ -160,6 +160,7 @@
 		msg.IdleTimeout = m.declared.IdleTimeout
 	}
 	m.declared = msg
+	m.compareIncarnations()
 	if !m.configured {
 		m.configured = true
 		m.probeWhenSilent(now)
--- a/holder/msg.go
+++ b/holder/msg.go
@@ -123,6 +123,8 @@
 	ColdRate float64
 	// MaxFlows is the number of flows that a backend server can hold; zero is no limit.
 	MaxFlows int
+	// WarmUp is the time for which a backend server is cold after its start; zero is unknown.
+	WarmUp time.Duration
 	// IdleTimeout is the time without packets after which a flow counts as ended; zero is
 	// not declared.
 	IdleTimeout time.Duration
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -203,6 +203,7 @@
 		Version:     uint64(number(t, x, "version")),
 		ColdRate:    float64(number(t, x, "cold_rate")),
 		MaxFlows:    number(t, x, "max"),
+		WarmUp:      time.Duration(number(t, x, "warm_up_ms")) * time.Millisecond,
 		IdleTimeout: idleTimeout,
 	}
 }
--- a/holder/server.go
+++ b/holder/server.go
@@ -15,8 +15,9 @@
 	incarnation uint64
 	sequence    uint64
 	// firstSequence is the sequence number of the first heartbeat of the present incarnation
-	// that this process received.
+	// that this process received, and firstColdFor the remaining cold time in it.
 	firstSequence uint64
+	firstColdFor  time.Duration
 	// heartbeats is the number of heartbeats of the present incarnation that this process
 	// has received.
 	heartbeats uint64
@@ -157,12 +158,33 @@
 	return m.server.earlierRecordRead && incarnation != 0 && incarnation < m.server.earlierRecord
 }
 
+// UnrecordedDelay is the time from the first heartbeat of an incarnation after which its agent
+// serves it without a record, as the registry may be unavailable for long.
+const UnrecordedDelay = 1500 * time.Millisecond
+
 // maxUnservedSequence is the highest sequence number of a first heartbeat that shows that no
 // earlier agent process sent flows to the incarnation without a record of it. An agent receives
 // as many heartbeats of an incarnation before it serves it without a record, so its next process
 // receives a later one.
 const maxUnservedSequence = 2
 
+// maxYoungSequence is the highest sequence number of a first heartbeat whose remaining cold time
+// is taken for the age of the backend server. One that turns cold again has sent more.
+const maxYoungSequence = 10
+
+// unserved reports whether no earlier agent process can have sent flows to the present
+// incarnation without a record of it: by the number of its first heartbeat, or because the
+// backend server was younger than UnrecordedDelay then. After a loss of power, it repeats its
+// first heartbeats many times a second until its agent has started.
+func (m *Model) unserved() bool {
+	s := &m.server
+	if s.firstSequence <= maxUnservedSequence {
+		return true
+	}
+	age := m.declared.WarmUp - s.firstColdFor
+	return s.firstSequence <= maxYoungSequence && s.firstColdFor > 0 && age >= 0 && age < UnrecordedDelay
+}
+
 // compareIncarnations concludes that no flow is missing from the table when the backend server
 // has started after an earlier agent process wrote its record. A missing or older record alone
 // does not show this: while the registry is unavailable, agents serve without one.
@@ -171,7 +193,7 @@
 	if !s.announced || !s.earlierRecordRead || s.earlierRecord == s.incarnation || s.noEarlierFlows {
 		return
 	}
-	if s.firstSequence > maxUnservedSequence {
+	if !m.unserved() {
 		if !s.unrecordedLogged {
 			s.unrecordedLogged = true
 			m.emit(LogEffect{
@@ -220,6 +242,7 @@
 		})
 	}
 	s.firstSequence = msg.Sequence
+	s.firstColdFor = msg.ColdFor
 	s.heartbeats = 0
 	s.unrecordedLogged = false
 	m.emit(LogEffect{
--- a/host/agent.go
+++ b/host/agent.go
@@ -64,9 +64,6 @@
 	balancersInterval = 15 * time.Second
 	// maxIncarnations bounds the incarnations that wait to be recorded.
 	maxIncarnations = 16
-	// registerTimeout is the time after which an agent serves without a record, as
-	// the registry may be unavailable for long.
-	registerTimeout = 1500 * time.Millisecond
 	// defaultRecordCheckInterval bounds the time for which the record of an agent may be
 	// missing, for example because another writer has removed it.
 	defaultRecordCheckInterval = 25 * time.Second
--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -9,8 +9,8 @@
 )
 
 // register records each incarnation of the backend server before it takes flows. If
-// the registry is unavailable, the backend server takes flows after registerTimeout
-// all the same, since balancers get the reports of its agent.
+// the registry is unavailable, the backend server takes flows after
+// holder.UnrecordedDelay all the same, since balancers get the reports of its agent.
 func (a *Agent) register(ctx context.Context) {
 	a.readEarlierRecord(ctx)
 	incarnation, ok := a.nextIncarnation(ctx, 0)
@@ -89,7 +89,7 @@
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	err := a.config.Registry.RegisterAgent(c, a.member(), incarnation)
 	cancel()
-	if err == nil || time.Since(a.incarnationAt) > registerTimeout {
+	if err == nil || time.Since(a.incarnationAt) > holder.UnrecordedDelay {
 		a.update(holder.RecordedMsg{
 			Incarnation: incarnation,
 			Failed:      err != nil,
--- a/host/message.go
+++ b/host/message.go
@@ -24,6 +24,7 @@
 		Version:     uint64(c.Version),
 		ColdRate:    s.ColdRate,
 		MaxFlows:    s.MaxFlows,
+		WarmUp:      s.WarmUp,
 		IdleTimeout: c.IdleTimeout,
 	}
 }
@@ -36,6 +37,7 @@
 		x.ColdRateMilli = uint64(s.ColdRate * milli)
 		x.MaxFlows = uint32(s.MaxFlows)
 		x.IdleTimeoutMs = milliseconds(s.IdleTimeout)
+		x.WarmUpMs = milliseconds(s.WarmUp)
 	}
 	return &controlpb.Datagram{
 		Body: &controlpb.Datagram_Solicit{
@@ -51,6 +53,7 @@
 			Version:     x.GetConfigVersion(),
 			ColdRate:    float64(x.GetColdRateMilli()) / milli,
 			MaxFlows:    int(x.GetMaxFlows()),
+			WarmUp:      fromMilliseconds(x.GetWarmUpMs()),
 			IdleTimeout: fromMilliseconds(x.GetIdleTimeoutMs()),
 		},
 	}
--- a/routing/config.go
+++ b/routing/config.go
@@ -25,4 +25,6 @@
 	ColdRate float64
 	// MaxFlows is the maximum number of flows of one target; zero is no limit.
 	MaxFlows int
+	// WarmUp is the time for which a target is cold after its start; zero is unknown.
+	WarmUp time.Duration
 }
