Write invalid settings in the soak only to programs that have started

A program ends with a message when it finds invalid settings at its start; it keeps the previous ones when they change later, which is what this action checks.

Change: invalid settings are written only to programs that were started more than a second ago, and the file is replaced at once instead of being truncated first. Valid changes still come at any moment, also during a start. No code of the product changes; a comment of a test is reworded.

--- a/cmd/lentilshed/hangup_test.go
+++ b/cmd/lentilshed/hangup_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestHangupIsIgnoredAtStart guards against processes that end because the platform tells them
-// of changed settings while they start: no part of the program has installed a handler in this
-// test, so SIGHUP, signal 1, is ignored by the constructor only.
+// TestHangupIsIgnoredAtStart guards against processes that end because SIGHUP, for changed
+// settings, arrives while they start: no part of the program has installed a handler in this
+// test, so signal 1 is ignored by the constructor only.
 func TestHangupIsIgnoredAtStart(t *testing.T) {
 	b, err := os.ReadFile("/proc/self/status")
 	require.NoError(t, err)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -18,7 +18,9 @@
 	log    *os.File
 	mu     sync.Mutex
 	cmd    *exec.Cmd
-	done   chan struct{}
+	// startedAt is when the program was last started.
+	startedAt time.Time
+	done      chan struct{}
 	// endExpected is set once the soak itself has told the process to exit.
 	endExpected bool
 	// addViolation records an unexpected exit.
@@ -53,6 +55,7 @@
 	}
 	done := make(chan struct{})
 	p.cmd = c
+	p.startedAt = time.Now()
 	p.done = done
 	p.endExpected = false
 	go func() {
@@ -68,6 +71,26 @@
 	return nil
 }
 
+// startTime is the time within which a started program has read its settings, also beside many
+// others.
+const startTime = time.Second
+
+// hasStarted reports whether the program has read its settings.
+func (p *process) hasStarted() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.startedAt) > startTime
+}
+
+// writeSettings replaces the settings file at once, so that the program never reads a part.
+func (p *process) writeSettings(b []byte) error {
+	next := p.config + ".next"
+	if err := os.WriteFile(next, b, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, p.config)
+}
+
 // signal sends a signal to the running program.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
