--- a/cmd/lentilshed/passthrough.go
+++ b/cmd/lentilshed/passthrough.go
@@ -182,6 +182,7 @@
 		DomainDeadline: time.Duration(s.DomainDeadline),
 		RestartGrace:   time.Duration(s.StabilityTime) - restartMargin,
 
+		LoadAware: platform.LoadAware(s.Contracts),
 		Placement: placementConfig,
 		Codec:     packetCodec,
 		Registry:  p.registry,
@@ -220,6 +221,7 @@
 		OutboundAddress: netip.MustParseAddrPort(s.OutboundAddress),
 		Backend:         backend,
 		Balancers:       seedPeers(s),
+		LoadAware:       platform.LoadAware(s.Contracts),
 		Codec:           packetCodec,
 		Registry:        p.registry,
 		Log:             p.logEvent,
--- a/director/conclude.go
+++ b/director/conclude.go
@@ -46,7 +46,7 @@
 	a.reply = replyOffered
 	a.offered = true
 	m.stats.Offers++
-	m.send(agent, l.packets[0], true)
+	m.send(agent, l.segment.Tuple, l.packets[0], true)
 }
 
 // offersCount reports whether packets offered to an agent count towards maxOffers.
--- a/director/effect.go
+++ b/director/effect.go
@@ -3,8 +3,10 @@
 import (
 	"net/netip"
 
+	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/routing"
 )
 
 // Effect is anything that the runtime does on behalf of Model.Update. Data
@@ -17,7 +19,10 @@
 	To      netip.AddrPort
 	Service string
 	Offer   bool
-	Data    []byte
+	// Class is the class of the route's requests. It is sent along if Classified is set.
+	Class      routing.Class
+	Classified bool
+	Data       []byte
 }
 
 // ResetEffect sends a reset of a flow to its caller.
@@ -62,6 +67,8 @@
 type ReportRequestEffect struct {
 	To      netip.AddrPort
 	Service string
+	// Costs has the costs of the service's routes at a target of mean speed.
+	Costs []cost.RouteCost
 }
 
 // ListEffect requests a fresh list of all registered agents.
--- a/director/model.go
+++ b/director/model.go
@@ -27,6 +27,9 @@
 	RestartGrace time.Duration
 	// MaxHints is the maximum number of hints; zero or less is defaultMaxHints.
 	MaxHints int
+	// LoadAware makes placement and admission depend on learned costs and on failing backend
+	// servers. Without it, neither takes effect.
+	LoadAware bool
 }
 
 // Model is the state of one balancer. It belongs to one goroutine at a time.
@@ -252,7 +255,7 @@
 		m.lookUp(now, r, s, data)
 	case !h.ended():
 		h.update(now, s)
-		m.send(h.member, data, false)
+		m.send(h.member, s.Tuple, data, false)
 	case h.sameFlow(s):
 		m.reset(s, CauseServerEnded, 1)
 	default:
@@ -261,14 +264,22 @@
 	}
 }
 
-func (m *Model) send(to *member, data []byte, offer bool) {
+// send sends a packet of a flow to an agent, with the class of its route if load-aware.
+func (m *Model) send(to *member, t flow.Tuple, data []byte, offer bool) {
 	m.stats.Delivered++
-	m.emit(DeliverEffect{
+	e := DeliverEffect{
 		To:      to.Address,
 		Service: to.Service,
 		Offer:   offer,
 		Data:    data,
-	})
+	}
+	if m.config.LoadAware {
+		if r, ok := m.declared.Routes[routing.AddressOf(t)]; ok {
+			e.Class = r.Class
+			e.Classified = true
+		}
+	}
+	m.emit(e)
 }
 
 // reset sends a reset to the caller, unless the caller itself has just reset the flow.
--- a/director/place.go
+++ b/director/place.go
@@ -39,7 +39,7 @@
 	h.lastUsed = now
 	if h.member != nil && m.reusesTarget(now, h.member) {
 		m.noteOpened(now, h.member)
-		m.send(h.member, data, false)
+		m.send(h.member, s.Tuple, data, false)
 		return
 	}
 	m.place(now, r, h, s, data)
@@ -80,7 +80,7 @@
 	m.stats.Placed++
 	m.putHint(s.Tuple, h)
 	m.noteOpened(now, agent)
-	m.send(agent, data, false)
+	m.send(agent, s.Tuple, data, false)
 }
 
 // chooseOrWait chooses an agent for a new flow. Once targets have deferred the flow, it
@@ -140,6 +140,9 @@
 		if m.outOfService[agent.Domain] || !agent.acceptsFlows() || h.hasTried(agent) {
 			continue
 		}
+		if m.config.LoadAware && m.ejected(now, agent, seed) {
+			continue
+		}
 		m.candidates = append(m.candidates, agent.candidate(now, m.config.Domain))
 		m.candidateMembers = append(m.candidateMembers, agent)
 	}
--- a/director/query.go
+++ b/director/query.go
@@ -215,7 +215,7 @@
 		l.packets = l.packets[1:]
 	}
 	for _, b := range l.packets {
-		m.send(agent, b, false)
+		m.send(agent, t, b, false)
 	}
 }
 
@@ -224,7 +224,7 @@
 func (m *Model) handleNotHeld(now time.Time, r routing.Route, from *member, msg RejectMsg, h *hint) {
 	if h != nil {
 		// Another agent has replied in the meantime that it holds the flow.
-		m.send(h.member, msg.Data, false)
+		m.send(h.member, msg.Segment.Tuple, msg.Data, false)
 		return
 	}
 	l := m.lookups[msg.Segment.Tuple]
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -128,6 +128,7 @@
 		return
 	}
 	e.balancer = packet.From
+	e.class = packet.Class
 	e.wasIdle = m.isIdle(now, e)
 	if e.state == entrySynAckSent {
 		e.markOpen(now)
@@ -135,16 +136,46 @@
 	if packet.Segment.Has(segment.Ack) {
 		e.lastAck = packet.Segment.Ack
 	}
+	if m.config.LoadAware && m.held(now, e, packet) {
+		return
+	}
+	m.passOn(now, e, packet)
+}
+
+// passOn forwards a later packet of a flow that the backend server holds.
+func (m *Model) passOn(now time.Time, e *entry, packet DeliverMsg) {
+	t := packet.Segment.Tuple
 	if packet.Segment.Length > 0 && !e.requestPending() {
+		m.finishRequest(now, t, e, endResponse)
 		e.requestedAt = now
 		m.load.begin(now)
 		m.requestArrived(e)
+		e.started = true
+		e.answered = false
+		m.requestStarted(now, t, e)
+	}
+	end := endAbandoned
+	if e.backendFin {
+		end = endReset
 	}
-	m.recordEnd(e, packet.Segment, &e.callerFin)
-	m.noteForwarder(packet.Segment.Tuple, e)
+	m.recordEnd(now, e, packet.Segment, &e.callerFin, end)
+	m.noteForwarder(t, e)
 	m.forward(now, e, packet)
 }
 
+// finishRequest ends the started request of a flow, if there is one. Once its response has
+// begun, its end is endResponse.
+func (m *Model) finishRequest(now time.Time, t flow.Tuple, e *entry, end requestEnd) {
+	if !e.started {
+		return
+	}
+	e.started = false
+	if e.answered {
+		end = endResponse
+	}
+	m.requestFinished(now, t, e, end)
+}
+
 // unknownFlow handles a packet of a flow that is not in the table. While the table may
 // lack flows of the backend server, the packet is sent to the backend server, which
 // returns it to this agent if it does not hold the flow. Otherwise the packet is
@@ -192,17 +223,19 @@
 
 // recordEnd checks any segment for a FIN or RST, and ends the flow after an RST or once
 // both directions are closed. fin is the flag of the segment's direction.
-func (m *Model) recordEnd(e *entry, s segment.Segment, fin *bool) {
+// end is how a request that has no response yet has ended then.
+func (m *Model) recordEnd(now time.Time, e *entry, s segment.Segment, fin *bool, end requestEnd) {
 	if s.Has(segment.Fin) {
 		*fin = true
 	}
 	if s.Has(segment.Rst) || (e.callerFin && e.backendFin) {
-		m.finish(e)
+		m.finish(now, s.Tuple, e, end)
 	}
 }
 
 // finish marks a flow as ended and removes its request in flight.
-func (m *Model) finish(e *entry) {
+func (m *Model) finish(now time.Time, t flow.Tuple, e *entry, end requestEnd) {
+	m.finishRequest(now, t, e, end)
 	if e.requestPending() {
 		e.requestedAt = time.Time{}
 		m.load.abandon()
--- a/holder/entry.go
+++ b/holder/entry.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/lentilshed/lentilshed/routing"
 )
 
 // entryState is the state of a flow in the table.
@@ -53,6 +55,12 @@
 	// to the backend server while no request was in flight. It is zero again once the
 	// backend server has sent payload or the flow has ended, or after requestTimeout.
 	requestedAt time.Time
+	// started is set from the start of a request at the backend server until its end is
+	// known, and answered once its response has begun.
+	started  bool
+	answered bool
+	// class is the class of the flow's requests, by the latest packet of the caller.
+	class routing.Class
 	// offered is the number of packets that were forwarded in entryOffered.
 	offered uint8
 	// requestExpected is set until the first request of a flow that was admitted here.
--- a/holder/handover.go
+++ b/holder/handover.go
@@ -182,10 +182,10 @@
 // dropHints removes the flows that were hinted for an earlier incarnation of the backend
 // server than the one that has sent its first heartbeat. The balancers that know them reset
 // them.
-func (m *Model) dropHints(incarnation uint64) {
+func (m *Model) dropHints(now time.Time, incarnation uint64) {
 	for t, e := range m.flows {
 		if e.unverified && e.hintedIncarnation != 0 && e.hintedIncarnation < incarnation {
-			m.removeFlow(t, e)
+			m.removeFlow(now, t, e)
 		}
 	}
 }
--- a/holder/model.go
+++ b/holder/model.go
@@ -24,6 +24,9 @@
 	MaxEntries int
 	// Balancers are addresses where balancers may run.
 	Balancers []netip.AddrPort
+	// LoadAware turns on learned costs, the queue of requests and the detection of failures.
+	// Without it, nothing of them takes effect.
+	LoadAware bool
 }
 
 // Model is the state of one agent. It belongs to one goroutine at a time.
@@ -238,11 +241,12 @@
 		}
 		switch {
 		case now.Sub(e.lastPacket) > m.entryTimeout(e):
-			m.removeFlow(t, e)
+			m.removeFlow(now, t, e)
 		case e.requestPending() && now.Sub(e.requestedAt) > requestTimeout:
 			// The caller has given up, or the response was lost.
 			e.requestedAt = time.Time{}
 			m.load.abandon()
+			m.finishRequest(now, t, e, endTimeout)
 		}
 	}
 }
@@ -264,7 +268,8 @@
 	return now.Sub(e.lastPacket) > m.declared.IdleTimeout+idleMargin
 }
 
-func (m *Model) removeFlow(t flow.Tuple, e *entry) {
+func (m *Model) removeFlow(now time.Time, t flow.Tuple, e *entry) {
+	m.finishRequest(now, t, e, endAbandoned)
 	if e.requestPending() {
 		m.load.abandon()
 	}
@@ -276,7 +281,7 @@
 // a sample.
 func (m *Model) addFlow(now time.Time, t flow.Tuple, e *entry) {
 	if old := m.flows[t]; old != nil {
-		m.removeFlow(t, old)
+		m.removeFlow(now, t, old)
 	}
 	if len(m.flows) >= m.config.MaxEntries {
 		m.evictOne(now)
@@ -309,7 +314,7 @@
 	if found.state == entryOpen && !m.isIdle(now, found) {
 		m.evictedAt = now
 	}
-	m.removeFlow(oldest, found)
+	m.removeFlow(now, oldest, found)
 }
 
 // resetAll ends the flows of an incarnation of the backend server that was last seen
@@ -317,7 +322,7 @@
 // incarnation. A flow that is not in entryOpen is removed without a reset: it has ended,
 // or another target may hold it, for example one that has answered a copy of its SYN. If
 // none does, its next packet goes back to the balancer as not held.
-func (m *Model) resetAll(cause ResetCause, seen time.Time) {
+func (m *Model) resetAll(now time.Time, cause ResetCause, seen time.Time) {
 	n := 0
 	for t, e := range m.flows {
 		if e.state == entryOpen && e.openedAt.After(seen) {
@@ -331,7 +336,7 @@
 			})
 			n++
 		}
-		m.removeFlow(t, e)
+		m.removeFlow(now, t, e)
 	}
 	m.stats.Reset += uint64(n)
 	m.emit(LogEffect{
--- a/holder/msg.go
+++ b/holder/msg.go
@@ -4,7 +4,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/routing"
 	"github.com/lentilshed/lentilshed/segment"
 	"github.com/lentilshed/lentilshed/target"
 )
@@ -18,6 +20,8 @@
 	From netip.AddrPort
 	// Service is the service to which the balancer routed the packet.
 	Service string
+	// Class is the class of the route's requests.
+	Class   routing.Class
 	Segment segment.Segment
 	Data    []byte
 }
@@ -33,6 +37,8 @@
 type ReportRequestMsg struct {
 	From     netip.AddrPort
 	Declared ConfigMsg
+	// Costs has the costs of the service's routes at a target of mean speed.
+	Costs []cost.RouteCost
 }
 
 // BalancersMsg lists the addresses of all registered balancers.
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -12,7 +12,7 @@
 func (m *Model) handleOutbound(now time.Time, packet OutboundMsg) {
 	m.server.lastPacket = now
 	if packet.Segment.Has(segment.Undeliverable) {
-		m.returned(packet)
+		m.returned(now, packet)
 		return
 	}
 	e := m.flows[packet.Segment.Tuple]
@@ -31,11 +31,14 @@
 	e.lastPacket = now
 	m.updateState(now, e, packet.Segment)
 	if packet.Segment.Length > 0 && e.requestPending() {
-		m.load.end(now, now.Sub(e.requestedAt))
-		m.stats.countResponse(now.Sub(e.requestedAt))
+		d := now.Sub(e.requestedAt)
+		m.load.end(now, d)
+		m.stats.countResponse(d)
 		e.requestedAt = time.Time{}
+		e.answered = true
+		m.responseStarted(now, packet.Segment.Tuple, e, d)
 	}
-	m.recordEnd(e, packet.Segment, &e.backendFin)
+	m.recordEnd(now, e, packet.Segment, &e.backendFin, endReset)
 	m.stats.ToCaller++
 	m.emit(ToCallerEffect(packet))
 }
@@ -78,7 +81,7 @@
 // was not open yet, the packet goes back to the balancer. Packets of flows that have
 // ended or are not in the table, and first packets of flows that were accepted
 // meanwhile, are dropped.
-func (m *Model) returned(packet OutboundMsg) {
+func (m *Model) returned(now time.Time, packet OutboundMsg) {
 	e := m.flows[packet.Segment.Tuple]
 	if e == nil {
 		return
@@ -93,11 +96,11 @@
 	switch {
 	case packet.Segment.Has(segment.Syn):
 		if e.state == entryOpening {
-			m.removeFlow(packet.Segment.Tuple, e)
+			m.removeFlow(now, packet.Segment.Tuple, e)
 			m.reject(d, RejectFull)
 		}
 	case e.state == entryOpen:
-		m.removeFlow(packet.Segment.Tuple, e)
+		m.removeFlow(now, packet.Segment.Tuple, e)
 		m.server.lostFlow = m.server.lostFlow || !e.wasIdle
 		m.lostByBackend(packet.Segment)
 	case e.state == entryEnded, e.state == entryUnheld:
--- a/holder/report.go
+++ b/holder/report.go
@@ -3,6 +3,9 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/lentilshed/lentilshed/cost"
+	"github.com/lentilshed/lentilshed/outlier"
 )
 
 // Availability is whether a target takes new flows.
@@ -57,6 +60,12 @@
 	PlannedRestart bool
 	// ConfigVersion is the version of the configuration that the agent knows; zero is none.
 	ConfigVersion uint64
+	// Load is the work that the backend server still has to do; it is zero unless
+	// Config.LoadAware is set.
+	Load cost.Load
+	// Failures is the share of requests that failed; it is zero unless Config.LoadAware is
+	// set.
+	Failures outlier.Estimate
 }
 
 // slotUse returns the number of requests in flight divided by the slots.
@@ -82,6 +91,9 @@
 		Stopping:       m.stopping,
 		PlannedRestart: m.plannedRestart,
 		ConfigVersion:  m.declared.Version,
+
+		Load:     m.serverLoad(now),
+		Failures: m.failures(now),
 	}
 }
 
--- a/holder/server.go
+++ b/holder/server.go
@@ -111,7 +111,7 @@
 		m.stats.StaleHeartbeats++
 		return
 	default:
-		m.newIncarnation(msg)
+		m.newIncarnation(now, msg)
 	}
 	previous := m.availability()
 	s.announced = true
@@ -226,12 +226,12 @@
 // has the new one written to the registry, unless it is there already. The flows are kept
 // if this is the first heartbeat since this process started, or if an earlier process
 // recorded the same incarnation: the previous heartbeat was delayed then.
-func (m *Model) newIncarnation(msg HeartbeatMsg) {
+func (m *Model) newIncarnation(now time.Time, msg HeartbeatMsg) {
 	s := &m.server
 	recorded := s.earlierRecordRead && s.earlierRecord == msg.Incarnation
-	m.dropHints(msg.Incarnation)
+	m.dropHints(now, msg.Incarnation)
 	if !s.lastHeartbeat.IsZero() && !recorded {
-		m.resetAll(CauseBackendReplaced, s.lastHeartbeat)
+		m.resetAll(now, CauseBackendReplaced, s.lastHeartbeat)
 		s.noEarlierFlows = true
 	}
 	if recorded {
@@ -273,7 +273,7 @@
 	switch msg.Result {
 	case ProbeRefused:
 		if !s.exited && (s.announced || s.ready || len(m.flows) > 0) {
-			m.resetAll(CauseBackendGone, s.lastProbe)
+			m.resetAll(now, CauseBackendGone, s.lastProbe)
 		}
 		s.exited = true
 		s.noEarlierFlows = true
--- a/host/agent.go
+++ b/host/agent.go
@@ -28,6 +28,8 @@
 	Balancers []netip.AddrPort
 	Codec     PacketCodec
 	Registry  Registry
+	// LoadAware turns on learned costs, the queue of requests and the detection of failures.
+	LoadAware bool
 	// RecordCheckInterval is the time between two checks that the record of the agent is
 	// still in the registry; zero or less is the default.
 	RecordCheckInterval time.Duration
@@ -94,6 +96,7 @@
 			Name:      c.Name,
 			Service:   c.Backend.Service,
 			Balancers: c.Balancers,
+			LoadAware: c.LoadAware,
 		}, now),
 		self: director.Member{
 			Name:        c.Name,
--- a/host/agent_peer.go
+++ b/host/agent_peer.go
@@ -15,7 +15,7 @@
 		return
 	}
 	switch relay.Kind(p[0]) {
-	case relay.KindDeliver:
+	case relay.KindDeliver, relay.KindDeliverClass:
 		a.fromBalancer(from, p)
 	case relay.KindControl:
 		a.fromControl(from, p)
@@ -34,6 +34,7 @@
 	a.config.hop(s.Tuple, hopBalancer)
 	m := holder.DeliverMsg{
 		From:    from,
+		Class:   h.Class,
 		Segment: s,
 		Data:    data,
 	}
--- a/host/balancer.go
+++ b/host/balancer.go
@@ -42,10 +42,13 @@
 	// RestartGrace is the time after an unplanned start of an agent in which the users'
 	// rules leave it out; zero or less is the default.
 	RestartGrace time.Duration
-	Placement    placement.Config
-	Codec        PacketCodec
-	Registry     Registry
-	Log          func(LogEvent)
+	// LoadAware makes placement and admission depend on learned costs and on failing backend
+	// servers.
+	LoadAware bool
+	Placement placement.Config
+	Codec     PacketCodec
+	Registry  Registry
+	Log       func(LogEvent)
 	// Hop records in a trace that a packet of a flow passed here; nil records nothing.
 	Hop func(t flow.Tuple, name string)
 }
@@ -112,6 +115,7 @@
 			Domain:       c.Domain,
 			Placement:    c.Placement,
 			RestartGrace: c.RestartGrace,
+			LoadAware:    c.LoadAware,
 		}, time.Now()),
 		cancel: cancel,
 		freshness: freshness.NewModel(freshness.Config{
--- a/host/balancer_perform.go
+++ b/host/balancer_perform.go
@@ -51,9 +51,15 @@
 func (b *Balancer) perform(e director.Effect) {
 	switch x := e.(type) {
 	case director.DeliverEffect:
-		b.buffer = relay.AppendDeliver(b.buffer[:0], relay.DeliverHeader{
+		h := relay.DeliverHeader{
 			Service: relay.NewServiceID(x.Service),
-		}, x.Data)
+			Class:   x.Class,
+		}
+		if x.Classified {
+			b.buffer = relay.AppendDeliverClass(b.buffer[:0], h, x.Data)
+		} else {
+			b.buffer = relay.AppendDeliver(b.buffer[:0], h, x.Data)
+		}
 		b.send(b.peer, x.To)
 	case director.ResetEffect:
 		b.config.hop(x.Tuple, hopBalancerReset)
@@ -70,7 +76,7 @@
 	case director.HintsEffect:
 		b.sendControl(encodeHints(x), x.To)
 	case director.ReportRequestEffect:
-		b.sendControl(encodeReportRequest(b.model.Declared(), x.Service), x.To)
+		b.sendControl(encodeReportRequest(b.model.Declared(), x.Service, x.Costs), x.To)
 	case director.ListEffect:
 		b.requestRead(freshness.KindAgents)
 	case director.LogEffect:
--- a/host/message.go
+++ b/host/message.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/outlier"
 	"github.com/lentilshed/lentilshed/relay"
 	"github.com/lentilshed/lentilshed/routing"
 )
@@ -29,8 +31,10 @@
 	}
 }
 
-func encodeReportRequest(c *routing.Config, service string) *controlpb.Datagram {
-	x := &controlpb.Solicit{}
+func encodeReportRequest(c *routing.Config, service string, costs []cost.RouteCost) *controlpb.Datagram {
+	x := &controlpb.Solicit{
+		Costs: encodeCosts(costs),
+	}
 	if c != nil {
 		s := serviceConfig(c, service)
 		x.ConfigVersion = s.Version
@@ -56,6 +60,7 @@
 			WarmUp:      fromMilliseconds(x.GetWarmUpMs()),
 			IdleTimeout: fromMilliseconds(x.GetIdleTimeoutMs()),
 		},
+		Costs: decodeCosts(x.GetCosts()),
 	}
 }
 
@@ -241,6 +246,10 @@
 				FlowBytes:     r.FlowBytes,
 
 				PlannedRestart: r.PlannedRestart,
+
+				Load:           encodeLoad(r.Load),
+				FailureMilli:   uint32(r.Failures.Share * milli),
+				FailureSamples: uint32(r.Failures.Samples),
 			},
 		},
 	}
@@ -276,6 +285,12 @@
 			FlowBytes:      r.GetFlowBytes(),
 			PlannedRestart: r.GetPlannedRestart(),
 			ConfigVersion:  r.GetConfigVersion(),
+
+			Load: decodeLoad(r.GetLoad()),
+			Failures: outlier.Estimate{
+				Share:   min(float64(r.GetFailureMilli())/milli, 1),
+				Samples: float64(r.GetFailureSamples()),
+			},
 		},
 	}
 	for a, x := range availabilities {
--- a/host/message_test.go
+++ b/host/message_test.go
@@ -70,7 +70,7 @@
 			"liedlive-1": {ColdRate: 20, MaxFlows: 2000},
 		},
 		IdleTimeout: 15 * time.Second,
-	}, "liedlive-1"))
+	}, "liedlive-1", nil))
 	query := sizeOf(t, encodeQuery([]holder.QueriedFlow{
 		{
 			Tuple: flow.Tuple{
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -5,9 +5,12 @@
 
 import (
 	"encoding/binary"
+	"math"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/routing"
 	"github.com/zeebo/xxh3"
 	"google.golang.org/protobuf/proto"
 )
@@ -25,6 +28,9 @@
 	KindReject Kind = 0xd2
 	// KindControl is a message of the control protocol.
 	KindControl Kind = 0xd3
+	// KindDeliverClass is a caller's packet for a target, with the class of the requests of
+	// its route.
+	KindDeliverClass Kind = 0xd4
 )
 
 // ServiceID identifies a service within a datagram.
@@ -39,11 +45,17 @@
 // DeliverHeader is the header of a packet for a target.
 type DeliverHeader struct {
 	Service ServiceID
+	// Class is the class of the route's requests; its times have a precision of a
+	// millisecond.
+	Class routing.Class
 }
 
 const (
 	deliverHeaderSize = 5
-	rejectHeaderSize  = 2
+	// classHeaderSize is the size of the header of a KindDeliverClass datagram: service,
+	// priority, objective and timeout.
+	classHeaderSize  = deliverHeaderSize + 5
+	rejectHeaderSize = 2
 )
 
 // AppendDeliver appends a packet for a target to b.
@@ -53,13 +65,41 @@
 	return append(b, packet...)
 }
 
-// ParseDeliver returns the header and the packet, which aliases b.
+// AppendDeliverClass appends a packet for a target, with the class of its route, to b.
+func AppendDeliverClass(b []byte, d DeliverHeader, packet []byte) []byte {
+	b = append(b, byte(KindDeliverClass))
+	b = binary.LittleEndian.AppendUint32(b, uint32(d.Service))
+	b = append(b, byte(d.Class.Priority))
+	b = binary.LittleEndian.AppendUint16(b, classMilliseconds(d.Class.Objective))
+	b = binary.LittleEndian.AppendUint16(b, classMilliseconds(d.Class.Timeout))
+	return append(b, packet...)
+}
+
+func classMilliseconds(d time.Duration) uint16 {
+	return uint16(min(max(d.Milliseconds(), 0), math.MaxUint16))
+}
+
+// ParseDeliver returns the header and the packet, which aliases b, of a KindDeliver or
+// KindDeliverClass datagram. Without a class, the class is that of routes that declare none.
 func ParseDeliver(b []byte) (DeliverHeader, []byte, error) {
+	if len(b) >= classHeaderSize && Kind(b[0]) == KindDeliverClass {
+		return DeliverHeader{
+			Service: ServiceID(binary.LittleEndian.Uint32(b[1:])),
+			Class: routing.Class{
+				Priority:  routing.Priority(b[5]),
+				Objective: time.Duration(binary.LittleEndian.Uint16(b[6:])) * time.Millisecond,
+				Timeout:   time.Duration(binary.LittleEndian.Uint16(b[8:])) * time.Millisecond,
+			},
+		}, b[classHeaderSize:], nil
+	}
 	if len(b) < deliverHeaderSize || Kind(b[0]) != KindDeliver {
 		return DeliverHeader{}, nil, ErrMalformed
 	}
 	return DeliverHeader{
 		Service: ServiceID(binary.LittleEndian.Uint32(b[1:])),
+		Class: routing.Class{
+			Priority: routing.DefaultPriority,
+		},
 	}, b[deliverHeaderSize:], nil
 }
 
--- a/relay/codec_test.go
+++ b/relay/codec_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/relay"
+	"github.com/lentilshed/lentilshed/routing"
 	"github.com/stretchr/testify/require"
 )
 
@@ -43,11 +45,33 @@
 	require.Equal(t, []flow.Tuple{f}, relay.DecodeFlows(d.GetAnswer().GetHeld()))
 }
 
+// TestClassRoundTrip guards against an agent scheduling requests by another class than that
+// of their route.
+func TestClassRoundTrip(t *testing.T) {
+	h := relay.DeliverHeader{
+		Service: relay.NewServiceID("boards"),
+		Class: routing.Class{
+			Priority:  1,
+			Objective: 400 * time.Millisecond,
+			Timeout:   2 * time.Second,
+		},
+	}
+	got, p, err := relay.ParseDeliver(relay.AppendDeliverClass(nil, h, []byte("packet")))
+	require.NoError(t, err)
+	require.Equal(t, h, got)
+	require.Equal(t, "packet", string(p))
+	got, _, err = relay.ParseDeliver(relay.AppendDeliver(nil, h, []byte("packet")))
+	require.NoError(t, err)
+	require.Equal(t, routing.DefaultPriority, got.Class.Priority)
+}
+
 // FuzzParse checks that arbitrary datagrams are parsed or rejected with ErrMalformed,
 // and never cause a panic.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte{0xd1, 0, 1, 2, 3, 4, 5})
 	f.Add([]byte{0xd2})
+	f.Add([]byte{0xd4, 0, 1, 2, 3, 1, 144, 1, 208, 7, 9})
+	f.Add([]byte{0xd4, 0, 1})
 	f.Add([]byte{0xd3, 0x0a, 0xff})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if _, _, err := relay.ParseDeliver(b); err != nil {
--- a/routing/route.go
+++ b/routing/route.go
@@ -6,6 +6,7 @@
 type Route struct {
 	Name   string
 	Shares []Share
+	Class  Class
 }
 
 // Share is the part of a route's new flows that a service gets.
--- a/settings/passthrough.go
+++ b/settings/passthrough.go
@@ -57,6 +57,9 @@
 	// RemoteUse is the share of slots in use at the best local target above which new
 	// flows may go to other failure domains; zero means the default.
 	RemoteUse float64 `toml:"remote_use"`
+	// Contracts are the parts of the users' rules that are in force. Unknown ones are
+	// ignored.
+	Contracts []string `toml:"contracts"`
 }
 
 func (c *checker) checkPassthrough(p *Passthrough) {
