Admit flows at once to a cold backend server that no earlier agent served

Callers saw: after a loss of power of everything, cold backend servers took no new flow during the first second of their agents, although these knew that the backend servers had just started; first packets were dropped or refused meanwhile.

Cause: the cold budget of an agent that has just started counts the last second as spent, since an earlier process may have spent it. It kept doing so when the first heartbeat had shown that no earlier process can have sent flows to this incarnation.

Change: that proof, which already decides about unknown flows, also marks the budget as unspent. Any second still has at most the declared rate.

--- a/holder/server.go
+++ b/holder/server.go
@@ -204,6 +204,8 @@
 		return
 	}
 	s.noEarlierFlows = true
+	// No earlier process has spent the cold rate of this incarnation.
+	m.coldBudget.MarkUnspent()
 	m.emit(LogEffect{
 		Event: "backend server has started after the last record; unknown flows have ended",
 		Count: len(m.flows),
--- a/target/cold_budget.go
+++ b/target/cold_budget.go
@@ -41,6 +41,12 @@
 	b.admitted = append(b.admitted, now)
 }
 
+// MarkUnspent ends the time after the start in which Admit admits no flow, once it is known
+// that no earlier incarnation of the agent has sent flows to the target.
+func (b *ColdBudget) MarkUnspent() {
+	b.spentUntil = time.Time{}
+}
+
 func (b *ColdBudget) expire(now time.Time) {
 	n := 0
 	for n < len(b.admitted) && now.Sub(b.admitted[n]) > time.Second {
