Exit with 1 for a failure at run time and with 2 for wrong usage, in both programs

What is seen: lentilshed exited with 2 also when its port was in use, so a supervisor could not tell a failure that may pass from settings that fail again. lentilctl exited with 1 for an unknown flag, a missing flag or argument, and for a statement that cannot be parsed.

Cause: lentilshed returned exitUsage for every error; lentilctl marked only the errors that it finds itself, not those of cobra.

--- a/cmd/lentilctl/root.go
+++ b/cmd/lentilctl/root.go
@@ -11,9 +11,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/cmd/internal/usage"
+	"github.com/lentilshed/lentilshed/declaration"
 	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/intent"
 	"github.com/lentilshed/lentilshed/operator"
+	"github.com/lentilshed/lentilshed/query"
 	"github.com/lentilshed/lentilshed/store"
 	"github.com/spf13/cobra"
 )
@@ -21,17 +24,14 @@
 const (
 	exitOK     = 0
 	exitFailed = 1
-	exitUsage  = 2
+	// exitUsage stands for wrong usage, also in a statement, and invalid declarations.
+	exitUsage = 2
 	// exitLostRace tells scripts that another operator's change was accepted first.
 	exitLostRace = 3
 	// exitUnknown tells scripts that a change may have been accepted.
 	exitUnknown = 4
 )
 
-// errUsage marks errors of command lines that lentilctl itself finds invalid. Errors of
-// cobra, such as an unknown flag, do not have it.
-var errUsage = errors.New("usage")
-
 // command is one command line of lentilctl.
 type command struct {
 	platform string
@@ -55,7 +55,7 @@
 	r.SetArgs(args)
 	r.SetOut(out)
 	r.SetErr(errOut)
-	err := r.Execute()
+	err := usage.Execute(r)
 	if err == nil {
 		return exitOK
 	}
@@ -69,7 +69,7 @@
 		return exitLostRace
 	case errors.Is(err, intent.ErrUnknownOutcome):
 		return exitUnknown
-	case errors.Is(err, errUsage):
+	case errors.Is(err, usage.ErrWrong), errors.Is(err, query.ErrSyntax), errors.Is(err, declaration.ErrInvalid):
 		return exitUsage
 	}
 	return exitFailed
@@ -140,7 +140,7 @@
 			if len(args) == 1 {
 				v, err := strconv.ParseUint(args[0], 10, 64)
 				if err != nil {
-					return failure.Mark(errors.Newf("REVISION: %q is not a number", args[0]), errUsage)
+					return failure.Mark(errors.Newf("REVISION: %q is not a number", args[0]), usage.ErrWrong)
 				}
 				n = v
 			}
@@ -169,13 +169,13 @@
 
 func (c *command) session() (*operator.Session, error) {
 	if c.platform == "" {
-		return nil, failure.Mark(errors.New("--platform: is missing, and LENTILSHED_PLATFORM is not set"), errUsage)
+		return nil, failure.Mark(errors.New("--platform: is missing, and LENTILSHED_PLATFORM is not set"), usage.ErrWrong)
 	}
 	if c.region == "" {
-		return nil, failure.Mark(errors.New("--region: is missing, and LENTILSHED_REGION is not set"), errUsage)
+		return nil, failure.Mark(errors.New("--region: is missing, and LENTILSHED_REGION is not set"), usage.ErrWrong)
 	}
 	if c.output != string(operator.OutputText) && c.output != string(operator.OutputJSON) {
-		return nil, failure.Mark(errors.Newf("--output: %q is neither text nor json", c.output), errUsage)
+		return nil, failure.Mark(errors.Newf("--output: %q is neither text nor json", c.output), usage.ErrWrong)
 	}
 	return operator.New(operator.Config{
 		Client: store.New(store.Config{
--- a/cmd/lentilctl/script.go
+++ b/cmd/lentilctl/script.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/cmd/internal/usage"
 	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/operator"
 )
@@ -20,7 +21,7 @@
 	if c.file != "" && c.file != "-" {
 		f, err := os.Open(c.file)
 		if err != nil {
-			return failure.Mark(errors.Wrap(err, "--file"), errUsage)
+			return failure.Mark(errors.Wrap(err, "--file"), usage.ErrWrong)
 		}
 		defer func() { _ = f.Close() }()
 		r = f
--- a/cmd/lentilshed/demo.go
+++ b/cmd/lentilshed/demo.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/cmd/internal/usage"
 	"github.com/lentilshed/lentilshed/demo"
+	"github.com/lentilshed/lentilshed/failure"
 	"github.com/spf13/cobra"
 )
 
@@ -44,13 +46,13 @@
 
 func runDemo(f demoFlags, out, errOut io.Writer) error {
 	if f.seconds < 10 {
-		return errors.New("--seconds: must be at least 10")
+		return failure.Mark(errors.New("--seconds: must be at least 10"), usage.ErrWrong)
 	}
 	if f.connections < 10 || f.flows < 1 {
-		return errors.New("--connections: must be at least 10, and --flows at least 1")
+		return failure.Mark(errors.New("--connections: must be at least 10, and --flows at least 1"), usage.ErrWrong)
 	}
 	if f.scenario != string(demo.ScenarioShift) && f.scenario != string(demo.ScenarioSteady) {
-		return errors.Newf("--scenario: %q is neither shift nor steady", f.scenario)
+		return failure.Mark(errors.Newf("--scenario: %q is neither shift nor steady", f.scenario), usage.ErrWrong)
 	}
 	o := demo.Options{
 		Scenario:    demo.Scenario(f.scenario),
--- a/cmd/lentilshed/root.go
+++ b/cmd/lentilshed/root.go
@@ -5,15 +5,18 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lentilshed/lentilshed/cmd/internal/usage"
 	"github.com/lentilshed/lentilshed/demo"
 	"github.com/lentilshed/lentilshed/settings"
 	"github.com/spf13/cobra"
 )
 
 const (
-	exitOK       = 0
-	exitViolated = 1
-	exitUsage    = 2
+	exitOK = 0
+	// exitFailed also stands for a demo in which an invariant was violated.
+	exitFailed = 1
+	// exitUsage stands for wrong usage and invalid settings: the same command fails again.
+	exitUsage = 2
 )
 
 // run executes one command line and returns the exit status.
@@ -35,16 +38,19 @@
 		newMeasureCommand(out),
 		newPassthroughCommand(out),
 	)
-	err := c.Execute()
+	err := usage.Execute(c)
+	if err != nil && !errors.Is(err, demo.ErrInvariantViolated) {
+		_, _ = fmt.Fprintln(errOut, err)
+	}
+	return exitStatus(err)
+}
+
+func exitStatus(err error) int {
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.Is(err, demo.ErrInvariantViolated):
-		return exitViolated
-	}
-	_, _ = fmt.Fprintln(errOut, err)
-	if errors.Is(err, settings.ErrInvalid) {
+	case errors.Is(err, usage.ErrWrong), errors.Is(err, settings.ErrInvalid):
 		return exitUsage
 	}
-	return exitUsage
+	return exitFailed
 }
