Ignore addresses that are set on a closed dialer

What is seen: an agent or balancer that stops may leave connections and goroutines behind, and the WaitGroup of its dialers is added to while Close waits for it.

Cause: Runtime.Kill closes the dialers while the goroutine of the model may still handle a new table, which calls SetAddresses. A closed dialer started to dial again.

Change: Dialer.Close sets a flag under the lock that SetAddresses takes.

Evidence: TestClosedDialerOpensNothing failed before: the server saw a connection of the closed dialer. It sets addresses during and after Close, with -race. The flag and the addresses are under one lock, so no destination is added after Close has removed them all.

--- a/control/conn_test.go
+++ b/control/conn_test.go
@@ -149,3 +149,24 @@
 	opened, _, _ := b.counts()
 	require.Zero(t, opened)
 }
+
+// TestClosedDialerOpensNothing guards against connections and goroutines that outlive their
+// owner: an agent that stops may still handle a changed table and set its peers.
+func TestClosedDialerOpensNothing(t *testing.T) {
+	b := &recorder{}
+	s, err := Listen("127.0.0.1:0", b.handler("b"))
+	require.NoError(t, err)
+	defer s.Close()
+	d := NewDialer((&recorder{}).handler("a"))
+	set := make(chan struct{})
+	go func() {
+		defer close(set)
+		for range 200 {
+			d.SetAddresses([]string{s.Address()})
+		}
+	}()
+	d.Close()
+	<-set
+	d.SetAddresses([]string{s.Address()})
+	require.Never(t, func() bool { n, _, _ := b.counts(); return n > 0 }, 300*time.Millisecond, 10*time.Millisecond)
+}
--- a/control/dialer.go
+++ b/control/dialer.go
@@ -17,6 +17,7 @@
 	handler      Handler
 	mu           sync.Mutex
 	destinations map[string]*destination
+	closed       bool
 	wait         sync.WaitGroup
 }
 
@@ -35,10 +36,16 @@
 }
 
 // SetAddresses replaces the set of addresses. Connections to addresses that remain
-// in the set are kept.
+// in the set are kept. A closed dialer ignores the call.
 func (d *Dialer) SetAddresses(addresses []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.closed {
+		d.setAddresses(addresses)
+	}
+}
+
+func (d *Dialer) setAddresses(addresses []string) {
 	wanted := make(map[string]bool, len(addresses))
 	for _, a := range addresses {
 		wanted[a] = true
@@ -55,8 +62,12 @@
 }
 
 // Close closes all connections and waits for the goroutines that dial and serve them.
+// The owner may call SetAddresses at the same time and later.
 func (d *Dialer) Close() {
-	d.SetAddresses(nil)
+	d.mu.Lock()
+	d.closed = true
+	d.setAddresses(nil)
+	d.mu.Unlock()
 	d.wait.Wait()
 }
 
