Report a change whose every attempt was throttled as not accepted

What is seen: lentilctl exited with 4, unknown, and the operator had to look at the changes although the platform had refused all five attempts with status 429 before any write.

Cause: intent.Store.Change marked the error of the last attempt as ErrUnknownOutcome, whatever the attempts had met.

Change: it does so only if an attempt met something else than store.ErrThrottled.

Evidence: TestThrottledChangeIsNotAccepted failed before ("it is unknown whether" in the chain). TestThrottlingKeepsAnUnknownOutcome, which passed before as well, keeps a lost attempt followed by throttled ones unknown.

--- a/intent/store.go
+++ b/intent/store.go
@@ -18,8 +18,9 @@
 	// names the changes accepted since; nothing was written.
 	ErrLostRace = errors.New("another change was accepted first")
 	// ErrUnknownOutcome is returned when all attempts have failed or the context has
-	// ended, and no read has shown this change or another one in its place; also when
-	// the platform throttled every attempt.
+	// ended, and no read has shown this change or another one in its place. If the
+	// platform throttled every attempt, nothing was written and the error is
+	// store.ErrThrottled.
 	ErrUnknownOutcome = errors.New("it is unknown whether the change was accepted")
 	// ErrNoChange is returned when the edit made no change; see Edit.Changed.
 	ErrNoChange = errors.New("nothing to change")
@@ -97,6 +98,7 @@
 	if err != nil {
 		return VersionedDocument{}, err
 	}
+	sentinel := store.ErrThrottled
 	for i := 0; ; i++ {
 		v, err := s.client.Put(ctx, s.key(), b, base.Version)
 		if err == nil {
@@ -109,11 +111,11 @@
 		if done {
 			return resolved, err
 		}
-		if i+1 >= writeAttempts {
-			return VersionedDocument{}, failure.Mark(err, ErrUnknownOutcome)
+		if !errors.Is(err, store.ErrThrottled) {
+			sentinel = ErrUnknownOutcome
 		}
-		if sleep(ctx, writeRetryInterval) != nil {
-			return VersionedDocument{}, failure.Mark(err, ErrUnknownOutcome)
+		if i+1 >= writeAttempts || sleep(ctx, writeRetryInterval) != nil {
+			return VersionedDocument{}, failure.Mark(err, sentinel)
 		}
 	}
 }
--- a/intent/store_test.go
+++ b/intent/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -169,3 +170,44 @@
 	_, err = NewDocument("bayern").Merge(two.Since(1))
 	require.ErrorIs(t, err, ErrGap)
 }
+
+// TestThrottledChangeIsNotAccepted guards against operators who are told that the outcome of a
+// change is unknown although the platform refused every attempt before it wrote anything.
+func TestThrottledChangeIsNotAccepted(t *testing.T) {
+	s, p := newTestStore(t)
+	seen, err := s.Read(t.Context())
+	require.NoError(t, err)
+	p.SetFaults(objectstore.Faults{
+		Throttled: 1,
+	})
+	_, err = s.Change(t.Context(), seen, operation("d"), setOutOfService("d"))
+	require.ErrorIs(t, err, store.ErrThrottled)
+	require.NotErrorIs(t, err, ErrUnknownOutcome)
+	ctx, cancel := context.WithTimeout(t.Context(), writeRetryInterval/2)
+	defer cancel()
+	_, err = s.Change(ctx, seen, operation("d"), setOutOfService("d"))
+	require.NotErrorIs(t, err, ErrUnknownOutcome, "the context ended while the change waited")
+}
+
+// TestThrottlingKeepsAnUnknownOutcome guards against a change that is reported as refused
+// although an earlier attempt got no response: here the first attempt is lost, and the platform
+// throttles all calls after it.
+func TestThrottlingKeepsAnUnknownOutcome(t *testing.T) {
+	calls := 0
+	w := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls++; calls == 1 {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		w.WriteHeader(http.StatusTooManyRequests)
+	}))
+	defer w.Close()
+	s := NewStore(store.New(store.Config{
+		BaseURL: w.URL,
+	}), "bayern")
+	seen := VersionedDocument{
+		Document: NewDocument("bayern"),
+	}
+	_, err := s.Change(t.Context(), seen, operation("d"), setOutOfService("d"))
+	require.ErrorIs(t, err, ErrUnknownOutcome)
+}
