Claim a suspect agent as suspect when all claims are repeated

What is seen: after a change of the registrar, or a new connection to it, targets that sent no heartbeat for 1 s got new flows again until they lapsed at 4 s. A target that had moved to another balancer was taken over from it by the old claim, and marked crashed when the old balancer let it lapse, although it was alive.

Cause: sendAllClaims claimed every agent in the state that it had announced.

Change: it claims a suspect agent as suspect, which the registrar ignores from a balancer that was not the last to claim the target. As such a claim may be ignored, an announcement of a suspect agent is now always claimed, also while the roster still shows it as joined.

Evidence: TestSuspectTargetIsClaimedAsSuspect failed before with t1 claimed as joined, and with the first half of the change alone because the announcement was not claimed.

--- a/balancer/agents.go
+++ b/balancer/agents.go
@@ -9,7 +9,8 @@
 )
 
 // handleAnnounce records an agent's announcement, unless it is of an older
-// incarnation, and reports it to the registrar if it changed or the roster differs.
+// incarnation, and reports it to the registrar if it changed, if the roster differs, or if the
+// latest claim was of a suspect agent: the roster may not show that claim yet.
 func (m *Model) handleAnnounce(now time.Time, from ConnID, a *controlpb.Announce) {
 	member := a.GetMember()
 	old := m.agents[member.GetTarget()]
@@ -25,7 +26,7 @@
 		lastReceived:   now,
 	}
 	m.agents[member.GetTarget()] = latest
-	if old == nil || !proto.Equal(old.member, member) || m.rosterDiffers(member) {
+	if old == nil || old.suspect || !proto.Equal(old.member, member) || m.rosterDiffers(member) {
 		m.sendClaim(member, false)
 	}
 	if member.GetState() == controlpb.MemberState_MEMBER_STATE_GONE {
@@ -137,11 +138,16 @@
 }
 
 // sendAllClaims claims this balancer and its agents for a registrar that is new, was
-// unreachable or requests it. Suspect agents are claimed in the state they announced.
+// unreachable or requests it. A suspect agent is claimed as such: the registrar ignores the
+// claim if the agent has moved to another balancer.
 func (m *Model) sendAllClaims() {
 	m.sendClaim(m.ownMember(), false)
 	for _, a := range m.agents {
-		m.sendClaim(a.member, false)
+		if a.suspect {
+			m.sendClaim(asSuspect(a.member), false)
+		} else {
+			m.sendClaim(a.member, false)
+		}
 	}
 }
 
--- a/balancer/model_test.go
+++ b/balancer/model_test.go
@@ -166,3 +166,48 @@
 	require.Equal(t, controlpb.MemberState_MEMBER_STATE_GONE, state())
 	require.True(t, m.roster.Member("t1").GetCrashed())
 }
+
+// TestSuspectTargetIsClaimedAsSuspect guards against new flows to a silent target, and against
+// the loss of one that has moved to another balancer: a balancer that repeats its claims must
+// neither announce its silent targets as joined nor take them over from that balancer. A target
+// that announces itself again must be claimed as joined, whatever the roster shows.
+func TestSuspectTargetIsClaimedAsSuspect(t *testing.T) {
+	m := newTestModel()
+	m.Update(start, OpenMsg{Conn: 3, Hello: &controlpb.Hello{Name: "b3", Role: roleBalancer}})
+	m.Update(start, EnvelopeMsg{Conn: 3, Envelope: &controlpb.Envelope{
+		Body: &controlpb.Envelope_Beat{Beat: &controlpb.Beat{Term: 1, Sequence: 1, Holder: "b2"}},
+	}})
+	m.Update(start, OpenMsg{Conn: 1, Hello: &controlpb.Hello{Name: "t1", Role: roleAgent, Service: "liedlive"}})
+	member := &controlpb.Member{
+		Target:      "t1",
+		Incarnation: 1,
+		Service:     "liedlive",
+		State:       controlpb.MemberState_MEMBER_STATE_JOINED,
+	}
+	announce := EnvelopeMsg{Conn: 1, Envelope: &controlpb.Envelope{
+		Body: &controlpb.Envelope_Announce{Announce: &controlpb.Announce{Member: member}},
+	}}
+	m.Update(start, announce)
+	m.roster.Put(member)
+	now := start.Add(suspectTimeout + time.Millisecond)
+	m.Update(now, TickMsg{})
+	toRegistrar := OpenMsg{Conn: 2, ToRegistrar: true, Hello: &controlpb.Hello{Name: "b2", Role: roleBalancer}}
+	require.Equal(t, map[string]controlpb.MemberState{
+		"b1": controlpb.MemberState_MEMBER_STATE_JOINED,
+		"t1": controlpb.MemberState_MEMBER_STATE_SUSPECT,
+	}, claimedStates(m.Update(now, toRegistrar)))
+	require.Equal(t, map[string]controlpb.MemberState{
+		"t1": controlpb.MemberState_MEMBER_STATE_JOINED,
+	}, claimedStates(m.Update(now, announce)))
+}
+
+// claimedStates returns the states in the claims that the effects send.
+func claimedStates(l []Effect) map[string]controlpb.MemberState {
+	states := map[string]controlpb.MemberState{}
+	for _, e := range envelopes(l) {
+		if c := e.GetClaim(); c != nil {
+			states[c.GetMember().GetTarget()] = c.GetMember().GetState()
+		}
+	}
+	return states
+}
