Check an operators' configuration before it is sent: lentilctl check-config

Balancers leave out malformed entries with a line in their log, and use a route to a service that does not exist; an operator saw neither before the change was in force.

Package configcheck has the checks and the difference, without I/O; platform.ParseConfig reads the JSON with the line of each value and knows its names. Reserved capacity is not checked: the format has none.

Tests: scripts for the checks and the difference, and for the command with its exit statuses. In all of them, and in FuzzParseConfig, a configuration without an error finding must be taken by DecodeConfig with no entry left out. The fuzz test found a difference between a configuration and itself when a name occurs twice (kept in testdata/fuzz); entries of the same name are now compared in their order.

--- a/cmd/lentilctl/root.go
+++ b/cmd/lentilctl/root.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lentilshed/lentilshed/cmd/internal/usage"
+	"github.com/lentilshed/lentilshed/configcheck"
 	"github.com/lentilshed/lentilshed/declaration"
 	"github.com/lentilshed/lentilshed/failure"
 	"github.com/lentilshed/lentilshed/intent"
@@ -69,7 +70,8 @@
 		return exitLostRace
 	case errors.Is(err, intent.ErrUnknownOutcome):
 		return exitUnknown
-	case errors.Is(err, usage.ErrWrong), errors.Is(err, query.ErrSyntax), errors.Is(err, declaration.ErrInvalid):
+	case errors.Is(err, usage.ErrWrong), errors.Is(err, query.ErrSyntax),
+		errors.Is(err, declaration.ErrInvalid), errors.Is(err, configcheck.ErrInvalid):
 		return exitUsage
 	}
 	return exitFailed
@@ -95,7 +97,7 @@
 	f.StringVar(&c.author, "author", userName(), "name of the operator who makes the changes")
 	f.StringVarP(&c.output, "output", "o", "text", "text or json")
 	r.Flags().StringVarP(&c.file, "file", "f", "", "file of statements, one per line; - for standard input")
-	r.AddCommand(c.planCommand(), c.applyCommand(), c.waitCommand())
+	r.AddCommand(c.planCommand(), c.applyCommand(), c.waitCommand(), c.checkConfigCommand())
 	return r
 }
 
