Remove a target from the table of a service that it leaves for another one

What is seen: after an agent had been restarted under its name with another service, balancers and the agents of its former service kept it in that service's table. New and open flows of its buckets were sent to it and dropped there, until another member of the service changed.

Cause: Roster.Merge and the registrar reported only the new service as changed, Roster.Since sent the change only to agents of the new service, and the vector of the former service's table lost the part of the target, so that the next table could be refused as older.

Change: the registrar records in the member which services the target has left, when and in which failure domain (field departures, absent for all other members). Merge and Since include these services, and BuildTable keeps the departed target's part of the vector. All instances derive the same vector, also those that get the whole roster later.

Evidence: TestTargetThatChangesItsService failed before (only the new service was reported as changed). It covers balancers, agents, an agent that starts later, and the way back.

--- a/balancer/registrar.go
+++ b/balancer/registrar.go
@@ -109,7 +109,7 @@
 		changed = m.registrar.Claim(c.GetMember(), c.GetBalancer())
 	}
 	if changed {
-		m.rosterChanged([]string{c.GetMember().GetService()})
+		m.rosterChanged(roster.Services(m.roster.Member(c.GetMember().GetTarget())))
 	}
 }
 
--- a/roster/registrar.go
+++ b/roster/registrar.go
@@ -139,10 +139,30 @@
 	g.sequence++
 	c := proto.CloneOf(m)
 	c.Version = uint64(NewVersion(g.roster.Version.Term(), g.sequence))
+	c.Departures = departures(g.roster.Member(m.GetTarget()), c)
 	g.roster.Put(c)
 	g.roster.Version = Version(c.GetVersion())
 }
 
+// departures returns the departures of a member that replaces old: those of old and, if its
+// service is another one, that from the service of old.
+func departures(old, m *controlpb.Member) []*controlpb.Departure {
+	var l []*controlpb.Departure
+	for _, d := range old.GetDepartures() {
+		if d.GetService() != m.GetService() {
+			l = append(l, d)
+		}
+	}
+	if old != nil && old.GetService() != m.GetService() {
+		l = append(l, &controlpb.Departure{
+			Service: old.GetService(),
+			Domain:  old.GetDomain(),
+			Version: m.GetVersion(),
+		})
+	}
+	return l
+}
+
 // differs reports whether an announcement changes anything that other instances
 // use. Small changes of the weight do not count.
 func differs(old, m *controlpb.Member) bool {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -42,6 +42,8 @@
 	Origin    Version
 	members   map[string]*controlpb.Member
 	byService map[string]map[string]*controlpb.Member
+	// departed lists the departures from each service, by target.
+	departed map[string]map[string]*controlpb.Departure
 }
 
 // NewRoster returns an empty roster at version zero.
@@ -49,11 +51,12 @@
 	return &Roster{
 		members:   map[string]*controlpb.Member{},
 		byService: map[string]map[string]*controlpb.Member{},
+		departed:  map[string]map[string]*controlpb.Departure{},
 	}
 }
 
-// Merge applies a delta and returns the services of the members in it and, on a new
-// term, of all members. A delta at or below the held version changes nothing and returns
+// Merge applies a delta and returns the services of the members in it, also those that they
+// have left, and, on a new term, of all members. A delta at or below the held version changes nothing and returns
 // nil; one that starts above it or does not continue this roster's history returns
 // ErrGap.
 func (r *Roster) Merge(delta *controlpb.Roster) ([]string, error) {
@@ -72,7 +75,9 @@
 	}
 	for _, member := range delta.GetMembers() {
 		r.Put(member)
-		touched[member.GetService()] = true
+		for _, s := range Services(member) {
+			touched[s] = true
+		}
 	}
 	r.Version = Version(delta.GetVersion())
 	r.Origin = Version(delta.GetOrigin())
@@ -81,7 +86,7 @@
 
 // Since returns every member changed after a version, or the whole roster when the
 // version is not known to be part of this roster's history. A service limits the result
-// to its members and the balancers; empty gives all. The order is not fixed.
+// to its members, those that have left it, and the balancers; empty gives all. The order is not fixed.
 func (r *Roster) Since(v Version, service string) *controlpb.Roster {
 	if !r.inHistory(v) {
 		v = 0
@@ -92,7 +97,7 @@
 		Origin:  uint64(r.Origin),
 	}
 	for _, member := range r.members {
-		wanted := service == "" || member.GetService() == service || member.GetService() == InstanceService
+		wanted := service == "" || member.GetService() == InstanceService || slices.Contains(Services(member), service)
 		if wanted && Version(member.GetVersion()) > v {
 			m.Members = append(m.Members, member)
 		}
@@ -136,11 +141,35 @@
 	return sorted(r.byService[name])
 }
 
+// Departures returns the departures from a service by target. They keep the vector of its
+// table from falling when a target leaves, and must not be changed.
+func (r *Roster) Departures(service string) map[string]*controlpb.Departure {
+	return r.departed[service]
+}
+
+// Services returns the service of a member and those that it has left.
+func Services(m *controlpb.Member) []string {
+	l := []string{m.GetService()}
+	for _, d := range m.GetDepartures() {
+		l = append(l, d.GetService())
+	}
+	return l
+}
+
 // Put stores one member unchanged. The caller must make sure that versions only
 // rise.
 func (r *Roster) Put(member *controlpb.Member) {
-	if old := r.members[member.GetTarget()]; old != nil && old.GetService() != member.GetService() {
+	if old := r.members[member.GetTarget()]; old != nil {
 		delete(r.byService[old.GetService()], member.GetTarget())
+		for _, d := range old.GetDepartures() {
+			delete(r.departed[d.GetService()], member.GetTarget())
+		}
+	}
+	for _, d := range member.GetDepartures() {
+		if r.departed[d.GetService()] == nil {
+			r.departed[d.GetService()] = map[string]*controlpb.Departure{}
+		}
+		r.departed[d.GetService()][member.GetTarget()] = d
 	}
 	r.members[member.GetTarget()] = member
 	s := r.byService[member.GetService()]
@@ -169,6 +198,7 @@
 func (r *Roster) clear() {
 	clear(r.members)
 	clear(r.byService)
+	clear(r.departed)
 }
 
 func sorted(m map[string]*controlpb.Member) []*controlpb.Member {
--- a/service/build.go
+++ b/service/build.go
@@ -35,6 +35,10 @@
 			targets = append(targets, t)
 		}
 	}
+	for id, left := range r.Departures(name) {
+		v.Roster = max(v.Roster, left.GetVersion())
+		v.Intent = max(v.Intent, d.Domains[left.GetDomain()].GetRevision(), d.Targets[id].GetRevision())
+	}
 	return NewTable(name, s.GetId(), a, v, targets)
 }
 
