Let requests beyond the backend server's slots wait at the agent

Requests on open flows went to the backend server in order of arrival whatever their urgency, and it shed those beyond its own queue. With LoadAware, the agent now keeps them, with their packets, and passes them on by priority and deadline as slots become free (docs/design/load.md, part 3). Without LoadAware nothing changes; go test ./holder passes.

--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -71,7 +71,7 @@
 		return RejectDraining
 	case !m.server.ready || !m.server.mayOpen():
 		return RejectDown
-	case m.load.full(m.server.slots):
+	case m.full():
 		return RejectFull
 	case m.declared.MaxFlows > 0 && m.Flows() >= m.declared.MaxFlows:
 		return RejectFull
@@ -145,7 +145,7 @@
 // passOn forwards a later packet of a flow that the backend server holds.
 func (m *Model) passOn(now time.Time, e *entry, packet DeliverMsg) {
 	t := packet.Segment.Tuple
-	if packet.Segment.Length > 0 && !e.requestPending() {
+	if packet.Segment.Length > 0 && !e.requestPending() && !m.repeatsAnswered(e, packet.Segment) {
 		m.finishRequest(now, t, e, endResponse)
 		e.requestedAt = now
 		m.load.begin(now)
@@ -159,6 +159,7 @@
 		end = endReset
 	}
 	m.recordEnd(now, e, packet.Segment, &e.callerFin, end)
+	m.notePassed(e, packet.Segment)
 	m.noteForwarder(t, e)
 	m.forward(now, e, packet)
 }
@@ -233,8 +234,9 @@
 	}
 }
 
-// finish marks a flow as ended and removes its request in flight.
+// finish marks a flow as ended and removes its request in flight or waiting.
 func (m *Model) finish(now time.Time, t flow.Tuple, e *entry, end requestEnd) {
+	m.dropHeld(e)
 	m.finishRequest(now, t, e, end)
 	if e.requestPending() {
 		e.requestedAt = time.Time{}
--- a/holder/entry.go
+++ b/holder/entry.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/lentilshed/lentilshed/queue"
 	"github.com/lentilshed/lentilshed/routing"
 )
 
@@ -61,6 +62,18 @@
 	answered bool
 	// class is the class of the flow's requests, by the latest packet of the caller.
 	class routing.Class
+	// waiting is the request of the flow that waits for a slot, nil if none does.
+	waiting *queue.Request
+	// passedTo is the sequence number after the last payload of the caller that went to the
+	// backend server, if hasPassed is set. It is only kept when Config.LoadAware is set.
+	passedTo  uint32
+	hasPassed bool
+	// overdueAt is when the running request no longer counts against the slots, and
+	// runningPlace is its place in the heap of such requests, plus one; zero is not in it.
+	overdueAt    time.Time
+	runningPlace int
+	// overdue is set while the running request does not count against the slots.
+	overdue bool
 	// offered is the number of packets that were forwarded in entryOffered.
 	offered uint8
 	// requestExpected is set until the first request of a flow that was admitted here.
--- a/holder/handover.go
+++ b/holder/handover.go
@@ -38,10 +38,11 @@
 	maxHandoverFlows = 40
 )
 
-// handleStop refuses new flows from now on, and hands over the open ones.
+// handleStop refuses new flows from now on, passes on what waits, and hands over the open flows.
 func (m *Model) handleStop(now time.Time) {
 	if !m.stopping {
 		m.stopping = true
+		m.closeQueue(now)
 		m.handOver(now)
 	}
 	m.reportToAll(now)
--- a/holder/lifecycle.go
+++ b/holder/lifecycle.go
@@ -28,6 +28,7 @@
 	if !m.config.LoadAware {
 		return
 	}
+	m.slotUsed(now, t, e)
 	m.costRequestStarted(now, t, e)
 	m.outcomeRequestStarted(now, t, e)
 }
@@ -38,9 +39,9 @@
 	if !m.config.LoadAware {
 		return
 	}
+	m.slotFreed(e)
 	m.costResponseStarted(now, t, e, d)
 	m.outcomeResponseStarted(now, t, e, d)
-	m.startHeld(now)
 }
 
 // requestFinished is called once for each started request, when its end is known: with
@@ -49,9 +50,7 @@
 	if !m.config.LoadAware {
 		return
 	}
+	m.slotFreed(e)
 	m.costRequestFinished(now, t, e, end)
 	m.outcomeRequestFinished(now, t, e, end)
-	if end != endResponse {
-		m.startHeld(now)
-	}
 }
--- a/holder/model.go
+++ b/holder/model.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/queue"
 	"github.com/lentilshed/lentilshed/segment"
 	"github.com/lentilshed/lentilshed/target"
 )
@@ -27,6 +28,8 @@
 	// LoadAware turns on learned costs, the queue of requests and the detection of failures.
 	// Without it, nothing of them takes effect.
 	LoadAware bool
+	// Queue bounds the queue of requests.
+	Queue queue.Limits
 }
 
 // Model is the state of one agent. It belongs to one goroutine at a time.
@@ -42,6 +45,7 @@
 	server     server
 	coldBudget *target.ColdBudget
 	load       load
+	schedule   schedule
 	admission  admission
 	stopping   bool
 	// handoverRequested has the balancers that were asked for the flows of earlier
@@ -84,6 +88,9 @@
 		flows:       map[flow.Tuple]*entry{},
 		coldBudget:  target.NewColdBudget(now),
 		subscribers: NewSubscribers(now, c.Balancers),
+		schedule: schedule{
+			queue: queue.New(c.Queue),
+		},
 
 		handoverRequested: map[netip.AddrPort]bool{},
 		declared: ConfigMsg{
@@ -119,6 +126,7 @@
 // valid until the next call.
 func (m *Model) Update(now time.Time, msg Msg) []Effect {
 	m.effects = m.effects[:0]
+	m.schedule.queue.Recycle()
 	switch x := msg.(type) {
 	case DeliverMsg:
 		m.handleDeliver(now, x)
@@ -145,10 +153,13 @@
 	case StopMsg:
 		m.handleStop(now)
 	case ExitMsg:
+		m.closeQueue(now)
 		m.handOver(now)
 	case TickMsg:
 		m.tick(now)
 	}
+	// Any message may have freed a slot, and the flows are in a consistent state here.
+	m.startHeld(now)
 	return m.effects
 }
 
@@ -211,6 +222,9 @@
 func (m *Model) Stats() Stats {
 	s := m.stats
 	s.Open = len(m.flows)
+	for _, w := range m.queuedWork() {
+		s.Queue[queueClass(w.Priority)].Waiting += int(w.Requests)
+	}
 	return s
 }
 
@@ -240,6 +254,8 @@
 			m.idleFlows++
 		}
 		switch {
+		case e.waiting != nil:
+			// The backend server gets the next packet of the flow when a slot is free.
 		case now.Sub(e.lastPacket) > m.entryTimeout(e):
 			m.removeFlow(now, t, e)
 		case e.requestPending() && now.Sub(e.requestedAt) > requestTimeout:
@@ -269,6 +285,7 @@
 }
 
 func (m *Model) removeFlow(now time.Time, t flow.Tuple, e *entry) {
+	m.dropHeld(e)
 	m.finishRequest(now, t, e, endAbandoned)
 	if e.requestPending() {
 		m.load.abandon()
@@ -298,7 +315,7 @@
 	var found *entry
 	n := 0
 	for t, e := range m.flows {
-		if found == nil || e.lastPacket.Before(found.lastPacket) {
+		if found == nil || evictsBefore(e, found) {
 			oldest = t
 			found = e
 		}
@@ -317,6 +334,15 @@
 	m.removeFlow(now, oldest, found)
 }
 
+// evictsBefore reports whether a flow is to be evicted rather than another one: one without a
+// waiting request, then the one that has been silent for longer.
+func evictsBefore(a, b *entry) bool {
+	if (a.waiting == nil) != (b.waiting == nil) {
+		return a.waiting == nil
+	}
+	return a.lastPacket.Before(b.lastPacket)
+}
+
 // resetAll ends the flows of an incarnation of the backend server that was last seen
 // at the time seen. A flow that opened later is kept, as it may belong to the next
 // incarnation. A flow that is not in entryOpen is removed without a reset: it has ended,
--- /dev/null
+++ b/holder/running.go
@@ -0,0 +1,103 @@
+package holder
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/lentilshed/lentilshed/cost"
+	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/routing"
+)
+
+// running has the requests that the backend server works on, as far as they count against its
+// slots. It answers lost responses: a request without one would keep a slot from the waiting
+// requests until requestTimeout.
+type running struct {
+	// list is a heap by when the requests become overdue.
+	list overdueHeap
+	// overdue is the number of requests that have become overdue and still run.
+	overdue int
+}
+
+const (
+	// minOverdue is the least time after which a request is overdue: above the response
+	// times of ordinary requests, and short beside what callers wait.
+	minOverdue = 250 * time.Millisecond
+	// overdueFactor is the multiple of the p99 of a route after which its requests are
+	// overdue.
+	overdueFactor = 2
+	// defaultP99 is the p99 of a route of which nothing is known.
+	defaultP99 = 4 * cost.DefaultMean
+)
+
+// overdueAfter returns the time after which a running request of a route no longer counts
+// against the slots.
+func (m *Model) overdueAfter(_ routing.Address) time.Duration {
+	return max(minOverdue, overdueFactor*defaultP99)
+}
+
+// slotUsed counts a request that was passed to the backend server against the slots.
+func (m *Model) slotUsed(now time.Time, t flow.Tuple, e *entry) {
+	e.overdueAt = now.Add(m.overdueAfter(routing.AddressOf(t)))
+	heap.Push(&m.schedule.running.list, e)
+}
+
+// slotFreed ends the count of a request against the slots, if it has not ended yet.
+func (m *Model) slotFreed(e *entry) {
+	r := &m.schedule.running
+	switch {
+	case e.overdue:
+		e.overdue = false
+		r.overdue--
+	case e.runningPlace > 0:
+		heap.Remove(&r.list, e.runningPlace-1)
+	}
+}
+
+// overdueBy returns the number of requests that run and are overdue.
+func (r *running) overdueBy(now time.Time) int {
+	for len(r.list) > 0 && now.After(r.list[0].overdueAt) {
+		heap.Pop(&r.list).(*entry).overdue = true
+		r.overdue++
+	}
+	return r.overdue
+}
+
+// overdueHeap is a heap of flows by overdueAt. It implements heap.Interface.
+type overdueHeap []*entry
+
+// Len implements sort.Interface.
+func (h *overdueHeap) Len() int {
+	return len(*h)
+}
+
+// Less implements sort.Interface.
+func (h *overdueHeap) Less(i, j int) bool {
+	return (*h)[i].overdueAt.Before((*h)[j].overdueAt)
+}
+
+// Swap implements sort.Interface.
+func (h *overdueHeap) Swap(i, j int) {
+	l := *h
+	l[i], l[j] = l[j], l[i]
+	l[i].runningPlace = i + 1
+	l[j].runningPlace = j + 1
+}
+
+// Push implements heap.Interface.
+func (h *overdueHeap) Push(x any) {
+	e := x.(*entry)
+	*h = append(*h, e)
+	e.runningPlace = len(*h)
+}
+
+// Pop implements heap.Interface.
+func (h *overdueHeap) Pop() any {
+	l := *h
+	n := len(l) - 1
+	e := l[n]
+	l[n] = nil
+	*h = l[:n]
+	e.runningPlace = 0
+	return e
+}
--- a/holder/schedule.go
+++ b/holder/schedule.go
@@ -1,12 +1,229 @@
 package holder
 
-import "time"
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/cost"
+	"github.com/lentilshed/lentilshed/queue"
+	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/segment"
+)
+
+// schedule decides when the requests of callers go to the backend server. It answers bursts of
+// requests on flows that are already open, which no admission of new flows can limit: the
+// backend server processes them in order of arrival and sheds what exceeds its own queue, so
+// requests wait here and start by urgency as its slots become free.
+type schedule struct {
+	queue   *queue.Queue
+	running running
+	// closed is set once the agent is stopping: nothing waits from then on.
+	closed bool
+	// fullLoggedAt is when it was last logged that the queue is full.
+	fullLoggedAt time.Time
+	// work is the memory of the result of queuedWork.
+	work []cost.PriorityWork
+}
+
+const (
+	// defaultObjective is the objective of requests whose route has none.
+	defaultObjective = time.Second
+	// fullLogInterval is the least time between two log lines about a full queue.
+	fullLogInterval = 10 * time.Second
+)
+
+// queueing reports whether requests may wait here. A backend server that is draining may exit
+// once it has no request, so none is kept from it.
+func (m *Model) queueing() bool {
+	return m.config.LoadAware && m.server.slots > 0 && !m.schedule.closed && !m.server.draining
+}
+
+// slotFree reports whether the backend server has a slot for another request.
+func (m *Model) slotFree(now time.Time) bool {
+	return m.load.inFlight-m.schedule.running.overdueBy(now) < int(m.server.slots)
+}
 
 // held reports whether a caller's packet waits in the queue instead of going to the backend
-// server now.
-func (m *Model) held(_ time.Time, _ *entry, _ DeliverMsg) bool {
+// server now. If it was absorbed, because it repeats one that waits, it counts as held.
+func (m *Model) held(now time.Time, e *entry, packet DeliverMsg) bool {
+	s := packet.Segment
+	if e.waiting != nil {
+		return m.holdMore(now, e, packet)
+	}
+	if !m.queueing() || e.state != entryOpen || s.Length == 0 || s.Flags&(segment.Rst|segment.Syn) != 0 {
+		return false
+	}
+	if e.requestPending() || m.repeatsAnswered(e, s) {
+		return false
+	}
+	return m.holdRequest(now, e, packet)
+}
+
+// holdRequest adds a request to the queue, unless it may start at once or does not fit.
+func (m *Model) holdRequest(now time.Time, e *entry, packet DeliverMsg) bool {
+	q := m.schedule.queue
+	if q.Len() == 0 && m.slotFree(now) {
+		return false
+	}
+	startBy := e.lastPacket.Add(m.declared.IdleTimeout - idleMargin)
+	if !startBy.After(now) {
+		// The backend server may discard the flow because of its silence while it waits.
+		return false
+	}
+	if !q.Fits(len(packet.Data)) {
+		// Running requests may have become overdue since the latest message.
+		m.startHeld(now)
+	}
+	r, ok := q.Add(now, queue.Arrival{
+		Flow:     packet.Segment.Tuple,
+		Priority: e.class.Priority,
+		Deadline: now.Add(orDefault(e.class.Objective, defaultObjective)),
+		GiveUpAt: now.Add(orDefault(e.class.Timeout, requestTimeout)),
+		StartBy:  startBy,
+		Work:     m.expectedWork(routing.AddressOf(packet.Segment.Tuple)),
+	}, queuePacket(packet))
+	if !ok {
+		m.countFull(now, e.class.Priority)
+		return false
+	}
+	e.waiting = r
+	return true
+}
+
+func orDefault(d, other time.Duration) time.Duration {
+	if d <= 0 {
+		return other
+	}
+	return d
+}
+
+func queuePacket(packet DeliverMsg) queue.Packet {
+	return queue.Packet{
+		From:    packet.From,
+		Segment: packet.Segment,
+		Data:    packet.Data,
+	}
+}
+
+// holdMore handles a later packet of a flow whose request waits. If it does not fit, the whole
+// request goes to the backend server before it.
+func (m *Model) holdMore(now time.Time, e *entry, packet DeliverMsg) bool {
+	s := packet.Segment
+	switch {
+	case s.Has(segment.Rst):
+		m.dropHeld(e)
+		return false
+	case s.Length == 0 && !s.Has(segment.Fin), m.repeatsAnswered(e, s):
+		return false
+	case m.schedule.queue.Append(e.waiting, queuePacket(packet)) != queue.Full:
+		return true
+	}
+	r := e.waiting
+	m.countFull(now, r.Priority)
+	m.schedule.queue.Remove(r)
+	m.startRequest(now, r)
 	return false
 }
 
-// startHeld passes waiting requests to the backend server while slots are free.
-func (m *Model) startHeld(_ time.Time) {}
+// countFull counts a request that does not wait because the queue is full.
+func (m *Model) countFull(now time.Time, p routing.Priority) {
+	m.stats.Queue[queueClass(p)].Full++
+	s := &m.schedule
+	if !s.fullLoggedAt.IsZero() && now.Sub(s.fullLoggedAt) < fullLogInterval {
+		return
+	}
+	s.fullLoggedAt = now
+	m.emit(LogEffect{
+		Event: "queue of requests is full; further requests go to the backend server directly",
+		Count: s.queue.Len(),
+	})
+}
+
+// startHeld passes waiting requests to the backend server while slots are free, and all of
+// them when requests may no longer wait. It drops those whose callers have given up. Update
+// calls it last, so that it does not see a flow that is being removed.
+func (m *Model) startHeld(now time.Time) {
+	q := m.schedule.queue
+	for r := q.Due(now); r != nil; r = q.Due(now) {
+		if r.GivenUp(now) {
+			m.flows[r.Flow].waiting = nil
+			m.stats.Queue[queueClass(r.Priority)].Expired++
+			continue
+		}
+		m.startRequest(now, r)
+	}
+	for q.Len() > 0 && (!m.queueing() || m.slotFree(now)) {
+		m.startRequest(now, q.Next(now))
+	}
+}
+
+// startRequest passes the packets of a request that has left the queue to the backend server.
+func (m *Model) startRequest(now time.Time, r *queue.Request) {
+	e := m.flows[r.Flow]
+	e.waiting = nil
+	e.wasIdle = m.isIdle(now, e)
+	m.stats.Queue[queueClass(r.Priority)].Waits[latencyBucket(now.Sub(r.ArrivedAt))]++
+	for p := range r.Packets() {
+		m.passOn(now, e, DeliverMsg{
+			From:    p.From,
+			Service: m.config.Service,
+			Class:   e.class,
+			Segment: p.Segment,
+			Data:    p.Data,
+		})
+	}
+}
+
+// dropHeld removes the waiting request of a flow, if there is one.
+func (m *Model) dropHeld(e *entry) {
+	if e.waiting != nil {
+		m.schedule.queue.Remove(e.waiting)
+		e.waiting = nil
+	}
+}
+
+// closeQueue passes all waiting requests to the backend server, and lets none wait from now on.
+func (m *Model) closeQueue(now time.Time) {
+	m.schedule.closed = true
+	m.startHeld(now)
+}
+
+// full reports whether so many requests run or wait that another target would serve a new flow
+// sooner.
+func (m *Model) full() bool {
+	l := m.load
+	l.inFlight += m.schedule.queue.Len()
+	return l.full(m.server.slots)
+}
+
+// notePassed records how far the caller's payload has gone to the backend server.
+func (m *Model) notePassed(e *entry, s segment.Segment) {
+	if !m.config.LoadAware || s.Length == 0 {
+		return
+	}
+	end := s.Sequence + uint32(s.Length)
+	if !e.hasPassed || int32(end-e.passedTo) > 0 {
+		e.passedTo = end
+		e.hasPassed = true
+	}
+}
+
+// repeatsAnswered reports whether a packet only has payload that went to the backend server
+// before its latest response began. It is a retransmission, and no request: it would hold a
+// slot although the backend server does not work on it.
+func (m *Model) repeatsAnswered(e *entry, s segment.Segment) bool {
+	return m.config.LoadAware && e.hasPassed && e.started && e.answered && s.Length > 0 &&
+		int32(s.Sequence+uint32(s.Length)-e.passedTo) <= 0
+}
+
+// queuedWork returns the expected work of the waiting requests by priority, the most urgent
+// first. The result is valid until the next call.
+func (m *Model) queuedWork() []cost.PriorityWork {
+	m.schedule.work = m.schedule.queue.AppendWork(m.schedule.work[:0])
+	return m.schedule.work
+}
+
+// expectedWork returns the time that the backend server is expected to need for a request of
+// a route.
+func (m *Model) expectedWork(_ routing.Address) time.Duration {
+	return cost.DefaultMean
+}
--- a/holder/stats.go
+++ b/holder/stats.go
@@ -1,6 +1,10 @@
 package holder
 
-import "time"
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/routing"
+)
 
 // Stats counts the events at an agent since its start.
 type Stats struct {
@@ -33,10 +37,35 @@
 	// Responses counts the responses of the backend server by their latency: each once,
 	// at the lowest of LatencyBounds that it is within, or at the end if it is above all.
 	Responses [latencyBounds + 1]uint64
+	// Queue counts the requests that waited, by priority; the last has those of all
+	// priorities from its number on.
+	Queue [queueClasses]QueueStats
 	// Open is the number of flows in the table, in any state.
 	Open int
 }
 
+// queueClasses is the number of priorities that Stats.Queue tells apart.
+const queueClasses = 8
+
+// QueueStats counts the requests of one priority in the queue.
+type QueueStats struct {
+	// Waiting is the number of requests that wait now.
+	Waiting int
+	// Waits counts the requests that were started after a wait: each once, at the lowest of
+	// LatencyBounds that its wait is within, or at the end if it is above all.
+	Waits [latencyBounds + 1]uint64
+	// Full counts the requests that went to the backend server directly because the queue
+	// was full.
+	Full uint64
+	// Expired counts the requests that were dropped after their timeout.
+	Expired uint64
+}
+
+// queueClass returns the index of a priority in Stats.Queue.
+func queueClass(p routing.Priority) int {
+	return min(int(p), queueClasses-1)
+}
+
 const latencyBounds = 10
 
 // LatencyBounds are the upper bounds of the buckets of Stats.Responses.
@@ -54,11 +83,15 @@
 }
 
 func (s *Stats) countResponse(d time.Duration) {
+	s.Responses[latencyBucket(d)]++
+}
+
+// latencyBucket returns the index of the lowest of LatencyBounds that d is within.
+func latencyBucket(d time.Duration) int {
 	for i, b := range LatencyBounds {
 		if d <= b {
-			s.Responses[i]++
-			return
+			return i
 		}
 	}
-	s.Responses[latencyBounds]++
+	return latencyBounds
 }
