--- a/cmd/lentilshed/passthrough.go
+++ b/cmd/lentilshed/passthrough.go
@@ -17,6 +17,7 @@
 	"github.com/lentilshed/lentilshed/host"
 	"github.com/lentilshed/lentilshed/placement"
 	"github.com/lentilshed/lentilshed/platform"
+	"github.com/lentilshed/lentilshed/queue"
 	"github.com/lentilshed/lentilshed/settings"
 	"github.com/lentilshed/lentilshed/store"
 	"github.com/lentilshed/lentilshed/telemetry"
@@ -222,10 +223,14 @@
 		Backend:         backend,
 		Balancers:       seedPeers(s),
 		LoadAware:       platform.LoadAware(s.Contracts),
-		Codec:           packetCodec,
-		Registry:        p.registry,
-		Log:             p.logEvent,
-		Hop:             p.hopRecorder(),
+		Queue: queue.Limits{
+			Packets: s.QueuePackets,
+			Bytes:   s.QueueBytes,
+		},
+		Codec:    packetCodec,
+		Registry: p.registry,
+		Log:      p.logEvent,
+		Hop:      p.hopRecorder(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "start agent")
--- a/cmd/lentilshed/passthrough_metrics.go
+++ b/cmd/lentilshed/passthrough_metrics.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/lentilshed/lentilshed/director"
@@ -72,14 +73,32 @@
 			gauge(c.Tagged(map[string]string{"reason": holder.RejectReason(r).String()}), "packets_rejected", n)
 		}
 	}
+	latencyGauges(c, "answer_latency_bucket", s.Responses[:])
+	for p, q := range s.Queue {
+		if q != (holder.QueueStats{}) {
+			queueMetrics(c.Tagged(map[string]string{"priority": strconv.Itoa(p)}), q)
+		}
+	}
+}
+
+// queueMetrics updates the metrics of the waiting requests of one priority.
+func queueMetrics(c tally.Scope, s holder.QueueStats) {
+	c.Gauge("requests_queued").Update(float64(s.Waiting))
+	gauge(c, "queue_full", s.Full)
+	gauge(c, "queue_expired", s.Expired)
+	latencyGauges(c, "queue_wait_bucket", s.Waits[:])
+}
+
+// latencyGauges updates the buckets of a histogram by holder.LatencyBounds.
+func latencyGauges(c tally.Scope, name string, counts []uint64) {
 	total := uint64(0)
-	for i, n := range s.Responses {
+	for i, n := range counts {
 		total += n
 		le := "+Inf"
 		if i < len(holder.LatencyBounds) {
 			le = holder.LatencyBounds[i].String()
 		}
-		gauge(c.Tagged(map[string]string{"le": le}), "answer_latency_bucket", total)
+		gauge(c.Tagged(map[string]string{"le": le}), name, total)
 	}
 }
 
--- a/host/agent.go
+++ b/host/agent.go
@@ -10,6 +10,7 @@
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/queue"
 	"github.com/lentilshed/lentilshed/relay"
 )
 
@@ -30,6 +31,8 @@
 	Registry  Registry
 	// LoadAware turns on learned costs, the queue of requests and the detection of failures.
 	LoadAware bool
+	// Queue bounds the queue of requests.
+	Queue queue.Limits
 	// RecordCheckInterval is the time between two checks that the record of the agent is
 	// still in the registry; zero or less is the default.
 	RecordCheckInterval time.Duration
@@ -97,6 +100,7 @@
 			Service:   c.Backend.Service,
 			Balancers: c.Balancers,
 			LoadAware: c.LoadAware,
+			Queue:     c.Queue,
 		}, now),
 		self: director.Member{
 			Name:        c.Name,
--- a/settings/passthrough.go
+++ b/settings/passthrough.go
@@ -57,6 +57,10 @@
 	// RemoteUse is the share of slots in use at the best local target above which new
 	// flows may go to other failure domains; zero means the default.
 	RemoteUse float64 `toml:"remote_use"`
+	// QueuePackets and QueueBytes bound the packets of waiting requests at an agent; zero means
+	// the default.
+	QueuePackets int `toml:"queue_packets"`
+	QueueBytes   int `toml:"queue_bytes"`
 	// Contracts are the parts of the users' rules that are in force. Unknown ones are
 	// ignored.
 	Contracts []string `toml:"contracts"`
@@ -83,6 +87,12 @@
 	if p.RemoteUse < 0 || p.RemoteUse > 1 {
 		c.fail("passing.remote_use", "must be between 0 and 1")
 	}
+	if p.QueuePackets < 0 || p.QueuePackets > maxQueuePackets {
+		c.fail("passing.queue_packets", fmt.Sprintf("must be between 1 and %d, or 0 for the default", maxQueuePackets))
+	}
+	if p.QueueBytes != 0 && (p.QueueBytes < minQueueBytes || p.QueueBytes > maxQueueBytes) {
+		c.fail("passing.queue_bytes", fmt.Sprintf("must be between %d and %d, or 0 for the default", minQueueBytes, maxQueueBytes))
+	}
 	switch p.Role {
 	case RoleBalancer:
 		c.optionalAddress("passing.calls_address", p.CallsAddress)
@@ -110,6 +120,15 @@
 	maxDeadline = Duration(time.Minute)
 )
 
+const (
+	// maxQueuePackets and maxQueueBytes keep the queue within a part of an agent's memory,
+	// which is 88 MB on the smallest instances, and minQueueBytes leaves room for the largest
+	// packet.
+	maxQueuePackets = 16384
+	minQueueBytes   = 64 << 10
+	maxQueueBytes   = 16 << 20
+)
+
 func (c *checker) deadline(key string, d Duration) {
 	if d != 0 && (d < minDeadline || d > maxDeadline) {
 		c.fail(key, "must be between 2s and 1m")
