Test the queue at the agent by scripts

The scripts replay bursts of two priorities, retransmissions, FIN and RST of waiting flows, full queues, stops, restarts of the backend server and lost responses. go test ./holder passes.

--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,8 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/queue"
+	"github.com/lentilshed/lentilshed/routing"
 	"github.com/lentilshed/lentilshed/segment"
 	"github.com/lentilshed/lentilshed/target"
 	"github.com/stretchr/testify/require"
@@ -23,6 +26,9 @@
 type script struct {
 	model *holder.Model
 	now   time.Time
+	slots uint32
+	// loadAware is set once the model is load-aware; the effects then name their packets.
+	loadAware bool
 }
 
 func newScript() *script {
@@ -32,7 +38,8 @@
 			Service:   scriptService,
 			Balancers: []netip.AddrPort{scriptBalancer},
 		}, now),
-		now: now,
+		now:   now,
+		slots: 3,
 	}
 }
 
@@ -53,10 +60,27 @@
 		d, err := time.ParseDuration(x.CmdArgs[0].Key)
 		require.NoError(t, err)
 		return s.wait(d)
+	case "load_aware":
+		s.startLoadAware(queue.Limits{
+			Packets: number(t, x, "packets"),
+			Bytes:   number(t, x, "bytes"),
+		}, number(t, x, "slots"), number(t, x, "flows"))
+		return ""
+	case "requests":
+		return s.requests(t, x)
+	case "queue":
+		return s.queue()
 	case "burst":
 		return s.burst(number(t, x, "from"), number(t, x, "flows"))
 	}
-	return s.update(s.message(t, x))
+	out := s.update(s.message(t, x))
+	if x.HasArg("sorted") {
+		// Flows are reset in the order of a map.
+		l := strings.SplitAfter(out, "\n")
+		slices.Sort(l)
+		return strings.Join(l, "")
+	}
+	return out
 }
 
 // wait sends ticks for the time d and prints their effects.
@@ -122,7 +146,7 @@
 			Incarnation: uint64(number(t, x, "incarnation")),
 			Sequence:    uint64(number(t, x, "seq")),
 			Draining:    x.HasArg("draining"),
-			Slots:       3,
+			Slots:       s.slots,
 			ColdFor:     time.Duration(number(t, x, "cold_ms")) * time.Millisecond,
 		}
 	case "deregister":
@@ -186,8 +210,16 @@
 	m := holder.DeliverMsg{
 		From:    scriptBalancer,
 		Service: scriptService,
+		Class: routing.Class{
+			Priority:  routing.Priority(number(t, x, "priority")),
+			Objective: time.Duration(number(t, x, "objective_ms")) * time.Millisecond,
+			Timeout:   time.Duration(number(t, x, "timeout_ms")) * time.Millisecond,
+		},
 		Segment: scriptSegment(t, x),
 	}
+	if s.loadAware && (m.Segment.Length > 0 || m.Segment.Has(segment.Fin)) {
+		m.Data = packetData(m.Segment)
+	}
 	if x.HasArg("other_service") {
 		m.Service = "layouts"
 	}
@@ -258,7 +290,7 @@
 func describe(e holder.Effect) string {
 	switch x := e.(type) {
 	case holder.ToBackendEffect:
-		return "to backend server"
+		return strings.TrimSpace("to backend server " + string(x.Data))
 	case holder.ToCallerEffect:
 		return fmt.Sprintf("to caller %d", x.Segment.Tuple.CallerPort)
 	case holder.ResetEffect:
