--- a/holder/evict_test.go
+++ b/holder/evict_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/queue"
 	"github.com/lentilshed/lentilshed/segment"
 	"github.com/stretchr/testify/require"
 )
@@ -46,3 +47,41 @@
 	require.Equal(t, 1, unsure)
 	require.True(t, m.KnowsAllFlows(now.Add(time.Minute)))
 }
+
+// TestWaitingFlowIsNotEvicted guards against the loss of waiting requests when the table is
+// full.
+func TestWaitingFlowIsNotEvicted(t *testing.T) {
+	// All entries are sampled when a flow is evicted.
+	const entries = 8
+	s := newScript()
+	s.maxEntries = entries
+	s.startLoadAware(queue.Limits{}, 1, 2)
+	s.now = s.now.Add(time.Millisecond)
+	for n := range 2 {
+		x := segment.Segment{
+			Tuple:    scriptFlow(2 - n),
+			Flags:    segment.Ack,
+			Sequence: 1,
+			Length:   10,
+		}
+		s.update(holder.DeliverMsg{
+			From:    scriptBalancer,
+			Service: scriptService,
+			Segment: x,
+			Data:    packetData(x),
+		})
+	}
+	require.Equal(t, 1, s.model.Stats().Queue[0].Waiting)
+	for n := range entries {
+		s.now = s.now.Add(time.Millisecond)
+		s.update(holder.OutboundMsg{
+			Segment: segment.Segment{
+				Tuple: scriptFlow(10 + n),
+				Flags: segment.Ack,
+			},
+		})
+	}
+	require.NotZero(t, s.model.Stats().Evicted)
+	// The running request has left with its flow, and the other one has its slot.
+	require.Equal(t, uint64(2), s.model.Stats().ToBackend)
+}
--- a/holder/schedule.go
+++ b/holder/schedule.go
@@ -160,6 +160,7 @@
 func (m *Model) startRequest(now time.Time, r *queue.Request) {
 	e := m.flows[r.Flow]
 	e.waiting = nil
+	// The process may have been paused, or the idle timeout lowered, while the request waited.
 	e.wasIdle = m.isIdle(now, e)
 	m.stats.Queue[queueClass(r.Priority)].Waits[latencyBucket(now.Sub(r.ArrivedAt))]++
 	for p := range r.Packets() {
--- a/holder/schedule_script_test.go
+++ b/holder/schedule_script_test.go
@@ -16,10 +16,11 @@
 // startLoadAware replaces the model by a load-aware one whose backend server holds some flows.
 func (s *script) startLoadAware(l queue.Limits, slots, flows int) {
 	s.model = holder.NewModel(holder.Config{
-		Service:   scriptService,
-		Balancers: []netip.AddrPort{scriptBalancer},
-		LoadAware: true,
-		Queue:     l,
+		Service:    scriptService,
+		MaxEntries: s.maxEntries,
+		Balancers:  []netip.AddrPort{scriptBalancer},
+		LoadAware:  true,
+		Queue:      l,
 	}, s.now)
 	s.slots = uint32(slots)
 	s.loadAware = true
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -27,6 +28,8 @@
 	model *holder.Model
 	now   time.Time
 	slots uint32
+	// maxEntries is the size of the table of a load-aware model; zero is the default.
+	maxEntries int
 	// loadAware is set once the model is load-aware; the effects then name their packets.
 	loadAware bool
 }
@@ -44,9 +47,13 @@
 }
 
 // TestScripts runs the data files: each command is a message, and its output is the
-// effects. Only wait and burst stand for many messages.
+// effects. Only wait, burst and requests stand for many messages, and pass for none.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		if strings.HasPrefix(path, filepath.Join("testdata", "rapid")) {
+			// The property tests keep the inputs of failed runs there.
+			return
+		}
 		s := newScript()
 		datadriven.RunTest(t, path, func(t *testing.T, x *datadriven.TestData) string {
 			return s.run(t, x)
@@ -60,6 +67,11 @@
 		d, err := time.ParseDuration(x.CmdArgs[0].Key)
 		require.NoError(t, err)
 		return s.wait(d)
+	case "pass":
+		d, err := time.ParseDuration(x.CmdArgs[0].Key)
+		require.NoError(t, err)
+		s.now = s.now.Add(d)
+		return ""
 	case "load_aware":
 		s.startLoadAware(queue.Limits{
 			Packets: number(t, x, "packets"),
