--- a/queue/queue.go
+++ b/queue/queue.go
@@ -164,12 +164,13 @@
 		if l.len() == 0 {
 			continue
 		}
-		if !q.waitsBelow(i) {
+		switch {
+		case !q.waitsBelow(i):
 			l.streak = 0
-		} else if l.streak >= lowerStarts-1 {
+		case l.streak >= lowerStarts-1:
 			// One of the lower levels has a request, so the loop goes on to it.
 			continue
-		} else {
+		default:
 			l.streak++
 		}
 		for _, upper := range q.levels[:i] {
