--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,8 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/queue"
+	"github.com/lentilshed/lentilshed/routing"
 	"github.com/lentilshed/lentilshed/segment"
 	"github.com/lentilshed/lentilshed/target"
 	"github.com/stretchr/testify/require"
@@ -23,6 +27,11 @@
 type script struct {
 	model *holder.Model
 	now   time.Time
+	slots uint32
+	// maxEntries is the size of the table of a load-aware model; zero is the default.
+	maxEntries int
+	// loadAware is set once the model is load-aware; the effects then name their packets.
+	loadAware bool
 }
 
 func newScript() *script {
@@ -32,14 +41,19 @@
 			Service:   scriptService,
 			Balancers: []netip.AddrPort{scriptBalancer},
 		}, now),
-		now: now,
+		now:   now,
+		slots: 3,
 	}
 }
 
 // TestScripts runs the data files: each command is a message, and its output is the
-// effects. Only wait and burst stand for many messages.
+// effects. Only wait, burst and requests stand for many messages, and pass for none.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		if strings.HasPrefix(path, filepath.Join("testdata", "rapid")) {
+			// The property tests keep the inputs of failed runs there.
+			return
+		}
 		s := newScript()
 		datadriven.RunTest(t, path, func(t *testing.T, x *datadriven.TestData) string {
 			return s.run(t, x)
@@ -53,10 +67,32 @@
 		d, err := time.ParseDuration(x.CmdArgs[0].Key)
 		require.NoError(t, err)
 		return s.wait(d)
+	case "pass":
+		d, err := time.ParseDuration(x.CmdArgs[0].Key)
+		require.NoError(t, err)
+		s.now = s.now.Add(d)
+		return ""
+	case "load_aware":
+		s.startLoadAware(queue.Limits{
+			Packets: number(t, x, "packets"),
+			Bytes:   number(t, x, "bytes"),
+		}, number(t, x, "slots"), number(t, x, "flows"))
+		return ""
+	case "requests":
+		return s.requests(t, x)
+	case "queue":
+		return s.queue()
 	case "burst":
 		return s.burst(number(t, x, "from"), number(t, x, "flows"))
 	}
-	return s.update(s.message(t, x))
+	out := s.update(s.message(t, x))
+	if x.HasArg("sorted") {
+		// Flows are reset in the order of a map.
+		l := strings.SplitAfter(out, "\n")
+		slices.Sort(l)
+		return strings.Join(l, "")
+	}
+	return out
 }
 
 // wait sends ticks for the time d and prints their effects.
@@ -122,7 +158,7 @@
 			Incarnation: uint64(number(t, x, "incarnation")),
 			Sequence:    uint64(number(t, x, "seq")),
 			Draining:    x.HasArg("draining"),
-			Slots:       3,
+			Slots:       s.slots,
 			ColdFor:     time.Duration(number(t, x, "cold_ms")) * time.Millisecond,
 		}
 	case "deregister":
@@ -186,8 +222,16 @@
 	m := holder.DeliverMsg{
 		From:    scriptBalancer,
 		Service: scriptService,
+		Class: routing.Class{
+			Priority:  routing.Priority(number(t, x, "priority")),
+			Objective: time.Duration(number(t, x, "objective_ms")) * time.Millisecond,
+			Timeout:   time.Duration(number(t, x, "timeout_ms")) * time.Millisecond,
+		},
 		Segment: scriptSegment(t, x),
 	}
+	if s.loadAware && (m.Segment.Length > 0 || m.Segment.Has(segment.Fin)) {
+		m.Data = packetData(m.Segment)
+	}
 	if x.HasArg("other_service") {
 		m.Service = "layouts"
 	}
@@ -258,7 +302,7 @@
 func describe(e holder.Effect) string {
 	switch x := e.(type) {
 	case holder.ToBackendEffect:
-		return "to backend server"
+		return strings.TrimSpace("to backend server " + string(x.Data))
 	case holder.ToCallerEffect:
 		return fmt.Sprintf("to caller %d", x.Segment.Tuple.CallerPort)
 	case holder.ResetEffect:
