Detect backend servers that fail requests, and eject them

A backend server that fails fast looks idle and attracts flows. Agents now classify how each request ended and report a failure share; balancers give failing targets only probe traffic. Takes effect only when load-aware.

--- a/cmd/lentilshed/passthrough_metrics.go
+++ b/cmd/lentilshed/passthrough_metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/outlier"
 	"github.com/lentilshed/lentilshed/telemetry"
 	"github.com/uber-go/tally/v4"
 )
@@ -52,6 +53,7 @@
 	gauge(c, "agent_lists", s.ListRequests)
 	c.Gauge("flows_known").Update(float64(s.Hints))
 	c.Gauge("agents_known").Update(float64(s.Members))
+	c.Gauge("servers_ejected").Update(float64(s.ServersEjected))
 }
 
 func agentMetrics(c tally.Scope, s holder.Stats) {
@@ -67,6 +69,10 @@
 	gauge(c, "probes", s.Probes)
 	gauge(c, "heartbeats_stale", s.StaleHeartbeats)
 	c.Gauge("flows_open").Update(float64(s.Open))
+	c.Gauge("failure_share").Update(s.FailureShare)
+	for f, n := range s.FailedResponses {
+		gauge(c.Tagged(map[string]string{"reason": outlier.Failure(f).String()}), "failed_responses", n)
+	}
 	for r, n := range s.Rejected {
 		if r > 0 {
 			gauge(c.Tagged(map[string]string{"reason": holder.RejectReason(r).String()}), "packets_rejected", n)
--- a/director/member.go
+++ b/director/member.go
@@ -58,6 +58,10 @@
 	handover *handover
 	// listed is set while the agent is in the newest list of agents.
 	listed bool
+	// failing is set while the backend server fails requests, and ejected while the target
+	// gets no new flows because of that.
+	failing bool
+	ejected bool
 	// placed counts the new flows sent since the latest report.
 	placed uint32
 	// key identifies the member in the draw of placement.
--- a/director/members.go
+++ b/director/members.go
@@ -71,6 +71,7 @@
 	agent.lastReport = now
 	agent.received(now)
 	agent.placed = 0
+	m.updateFailing(now, agent)
 	m.sendHints(now, agent)
 }
 
--- a/director/model.go
+++ b/director/model.go
@@ -77,6 +77,7 @@
 	// candidates and candidateMembers are scratch space of choose.
 	candidates       []placement.Candidate
 	candidateMembers []*member
+	ejection         ejection
 }
 
 const (
@@ -219,6 +220,7 @@
 	s := m.stats
 	s.Hints = len(m.hints)
 	s.Members = len(m.members)
+	s.ServersEjected = m.ejectedMembers()
 	return s
 }
 
@@ -353,6 +355,7 @@
 	m.tickLookups(now)
 	m.tickVerify(now)
 	m.tickSentinels(now)
+	m.tickEjection(now)
 	if now.Before(m.nextSweep) {
 		return
 	}
--- a/director/place.go
+++ b/director/place.go
@@ -113,11 +113,11 @@
 )
 
 // servesSooner reports whether a flow that was deferred by one agent is rather sent to
-// another: that one has reported lately, and it is in this failure domain, or few bytes
-// cross domains.
+// another: that one has reported lately and is not ejected, and it is in this failure domain,
+// or few bytes cross domains.
 func (m *Model) servesSooner(now time.Time, agent, deferredBy *member) bool {
 	known := now.Sub(agent.lastReport) <= m.config.Placement.SilenceTimeout
-	return known && (agent.Domain == m.config.Domain || cheapToMove(deferredBy))
+	return known && !agent.ejected && (agent.Domain == m.config.Domain || cheapToMove(deferredBy))
 }
 
 // cheapToMove reports whether flows of an agent's service are so small that serving them
@@ -136,22 +136,26 @@
 func (m *Model) choose(now time.Time, service string, h *hint, seed uint64) *member {
 	m.candidates = m.candidates[:0]
 	m.candidateMembers = m.candidateMembers[:0]
+	m.ejection.skipped = m.ejection.skipped[:0]
 	for _, agent := range m.membersByService[service] {
 		if m.outOfService[agent.Domain] || !agent.acceptsFlows() || h.hasTried(agent) {
 			continue
 		}
 		if m.config.LoadAware && m.ejected(now, agent, seed) {
+			m.ejection.skipped = append(m.ejection.skipped, agent)
 			continue
 		}
 		m.candidates = append(m.candidates, agent.candidate(now, m.config.Domain))
 		m.candidateMembers = append(m.candidateMembers, agent)
 	}
+	m.readmitEjected(now)
 	i, crowded, ok := m.config.Placement.Choose(m.candidates, seed)
 	if !ok {
 		return nil
 	}
 	if m.openedRecently(now, service) {
 		m.requestMissingReports(now, m.candidateMembers, seed, crowded)
+		m.subscribeToEjected(now, crowded)
 	}
 	return m.candidateMembers[i]
 }
--- a/director/stats.go
+++ b/director/stats.go
@@ -1,7 +1,7 @@
 package director
 
-// Stats counts what a balancer did since its start; Hints and Members are present
-// numbers.
+// Stats counts what a balancer did since its start; Hints, Members and ServersEjected are
+// present numbers.
 type Stats struct {
 	Delivered       uint64
 	Placed          uint64
@@ -22,4 +22,5 @@
 	ListRequests    uint64
 	Hints           int
 	Members         int
+	ServersEjected  int
 }
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -145,6 +145,7 @@
 // passOn forwards a later packet of a flow that the backend server holds.
 func (m *Model) passOn(now time.Time, e *entry, packet DeliverMsg) {
 	t := packet.Segment.Tuple
+	m.outcomeCallerPacket(e, packet.Segment)
 	if packet.Segment.Length > 0 && !e.requestPending() {
 		m.finishRequest(now, t, e, endResponse)
 		e.requestedAt = now
--- a/holder/entry.go
+++ b/holder/entry.go
@@ -61,6 +61,8 @@
 	answered bool
 	// class is the class of the flow's requests, by the latest packet of the caller.
 	class routing.Class
+	// outcome is what is known of how the latest request ended.
+	outcome outcome
 	// offered is the number of packets that were forwarded in entryOffered.
 	offered uint8
 	// requestExpected is set until the first request of a flow that was admitted here.
--- a/holder/model.go
+++ b/holder/model.go
@@ -69,6 +69,7 @@
 	// the latest sweep.
 	idleFlows int
 	nextSweep time.Time
+	outcomes  outcomes
 	stats     Stats
 	effects   []Effect
 }
@@ -211,6 +212,7 @@
 func (m *Model) Stats() Stats {
 	s := m.stats
 	s.Open = len(m.flows)
+	s.FailureShare = m.outcomes.monitor.Share()
 	return s
 }
 
@@ -220,6 +222,7 @@
 
 func (m *Model) tick(now time.Time) {
 	m.load.tick(now)
+	m.tickOutcomes(now)
 	m.probeWhenSilent(now)
 	m.tickReport(now)
 	m.sweepAdmission(now)
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -38,6 +38,7 @@
 		e.answered = true
 		m.responseStarted(now, packet.Segment.Tuple, e, d)
 	}
+	m.outcomeServerPacket(now, e, packet.Segment)
 	m.recordEnd(now, e, packet.Segment, &e.backendFin, endReset)
 	m.stats.ToCaller++
 	m.emit(ToCallerEffect(packet))
--- a/holder/server.go
+++ b/holder/server.go
@@ -232,6 +232,7 @@
 	m.dropHints(now, msg.Incarnation)
 	if !s.lastHeartbeat.IsZero() && !recorded {
 		m.resetAll(now, CauseBackendReplaced, s.lastHeartbeat)
+		m.forgetOutcomes(now)
 		s.noEarlierFlows = true
 	}
 	if recorded {
--- a/holder/stats.go
+++ b/holder/stats.go
@@ -1,6 +1,10 @@
 package holder
 
-import "time"
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/outlier"
+)
 
 // Stats counts the events at an agent since its start.
 type Stats struct {
@@ -33,6 +37,11 @@
 	// Responses counts the responses of the backend server by their latency: each once,
 	// at the lowest of LatencyBounds that it is within, or at the end if it is above all.
 	Responses [latencyBounds + 1]uint64
+	// FailedResponses counts the requests that failed at the backend server, by
+	// outlier.Failure, and FailureShare is the share of recent requests that did. Both are zero
+	// unless Config.LoadAware is set.
+	FailedResponses [outlier.Failures]uint64
+	FailureShare    float64
 	// Open is the number of flows in the table, in any state.
 	Open int
 }
