--- a/director/ejection.go
+++ b/director/ejection.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"math"
 	"time"
 
 	"github.com/lentilshed/lentilshed/outlier"
@@ -20,6 +21,10 @@
 	skipped []*member
 }
 
+// shareSteps rounds the shares by which failing targets are compared. Exact ones differ a little
+// at each report, and the ejected targets would change several times a second.
+const shareSteps = 10
+
 // probeSalt makes the choice of the flows that probe ejected targets independent of the draw
 // in package placement, which would otherwise send a target those for which it is drawn anyway.
 const probeSalt = 0x9e3779b97f4a7c15
@@ -43,6 +48,11 @@
 	}
 	before := agent.failing
 	agent.failing = agent.report.Failures.Failing(before)
+	if agent.failing {
+		agent.worstShare = max(agent.worstShare, agent.report.Failures.Share)
+	} else {
+		agent.worstShare = 0
+	}
 	if before || agent.failing || m.ejection.failing[agent.Service] > 0 {
 		m.updateEjected(now, agent.Service)
 	}
@@ -68,7 +78,7 @@
 		s := outlier.Server{
 			Index:   i,
 			Name:    agent.Name,
-			Share:   agent.report.Failures.Share,
+			Share:   math.Floor(agent.worstShare*shareSteps) / shareSteps,
 			Failing: agent.reportsFailures(now),
 		}
 		if s.Failing {
--- a/director/member.go
+++ b/director/member.go
@@ -62,6 +62,10 @@
 	// gets no new flows because of that.
 	failing bool
 	ejected bool
+	// worstShare is the highest failure share that was reported while failing is set. The
+	// latest one falls while the target is ejected, so with more failing targets than may be
+	// ejected, they would be ejected in turn.
+	worstShare float64
 	// placed counts the new flows sent since the latest report.
 	placed uint32
 	// key identifies the member in the draw of placement.
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -23,24 +23,28 @@
 type script struct {
 	model *holder.Model
 	now   time.Time
+	// exchange has the flow on which exchange sends requests.
+	exchange exchange
 }
 
-func newScript() *script {
+func newScript(loadAware bool) *script {
 	now := time.Unix(1_800_000_000, 0)
 	return &script{
 		model: holder.NewModel(holder.Config{
 			Service:   scriptService,
 			Balancers: []netip.AddrPort{scriptBalancer},
+			LoadAware: loadAware,
 		}, now),
 		now: now,
 	}
 }
 
 // TestScripts runs the data files: each command is a message, and its output is the
-// effects. Only wait and burst stand for many messages.
+// effects. Only wait, burst and exchange stand for many messages. The model is load-aware in the
+// files of the folder outcome.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := newScript()
+		s := newScript(strings.Contains(path, "outcome"))
 		datadriven.RunTest(t, path, func(t *testing.T, x *datadriven.TestData) string {
 			return s.run(t, x)
 		})
@@ -53,6 +57,8 @@
 		d, err := time.ParseDuration(x.CmdArgs[0].Key)
 		require.NoError(t, err)
 		return s.wait(d)
+	case "exchange":
+		return s.exchangeAll(t, x)
 	case "burst":
 		return s.burst(number(t, x, "from"), number(t, x, "flows"))
 	}
@@ -188,6 +194,7 @@
 		Service: scriptService,
 		Segment: scriptSegment(t, x),
 	}
+	m.Class.Timeout = time.Duration(number(t, x, "timeout_ms")) * time.Millisecond
 	if x.HasArg("other_service") {
 		m.Service = "layouts"
 	}
--- a/outlier/monitor.go
+++ b/outlier/monitor.go
@@ -13,9 +13,12 @@
 // value without requests, so an ejected server would hardly ever return. Therefore the share
 // also falls by its half-life while no requests end. The zero value is a server that is good.
 type Monitor struct {
-	share   float64
+	share float64
+	// recent is the decayed number of samples that the share is the mean of, and samples, which
+	// decays more slowly, the evidence.
+	recent  float64
 	samples float64
-	// updatedAt is the time up to which both have been decayed, and sampledAt that of the
+	// updatedAt is the time up to which all have been decayed, and sampledAt that of the
 	// latest sample.
 	updatedAt time.Time
 	sampledAt time.Time
@@ -23,10 +26,13 @@
 }
 
 const (
-	// halfLife is that of the share and of the evidence. A share of one falls below GoodShare
-	// after 3.06 half-lives, and with maxSampleGap and the delay of a report that is within
-	// ReturnTimeout.
+	// halfLife is that of the share. A share of one falls below GoodShare after 3.06 half-lives,
+	// and with maxSampleGap and the delay of a report that is within ReturnTimeout.
 	halfLife = 1800 * time.Millisecond
+	// evidenceHalfLife is longer: a backend server with two slots that never responds gets two
+	// requests a second, as each counts as in flight for 3 s, and so would never have
+	// MinSamples within halfLife.
+	evidenceHalfLife = 6 * time.Second
 	// maxSampleGap is the time without a sample from which on the share falls. With a shorter
 	// one, the share of a server with some ten requests a second would be too low.
 	maxSampleGap = 250 * time.Millisecond
@@ -39,14 +45,15 @@
 	m.decay(now)
 	m.sampledAt = now
 	m.samples++
-	weight := m.samples + prior
+	m.recent++
+	weight := m.recent + prior
 	outcome := 0.0
 	if failed {
 		outcome = 1
 		if m.failing {
 			// An ejected server has a request or two within the half-life, and one that fails
 			// must not count less because of a prior that other failures have refuted.
-			weight = m.samples
+			weight = m.recent
 		}
 	}
 	m.share += (outcome - m.share) / weight
@@ -69,23 +76,30 @@
 	if d <= 0 {
 		return
 	}
-	m.samples *= remains(d)
+	m.samples *= remains(d, evidenceHalfLife)
+	m.recent *= remains(d, halfLife)
 	if idle := min(d, now.Sub(m.sampledAt)-maxSampleGap); idle > 0 {
-		m.share *= remains(idle)
+		m.share *= remains(idle, halfLife)
 	}
 	m.updatedAt = now
 }
 
 // remains returns what is left of a value after some time.
-func remains(d time.Duration) float64 {
+func remains(d, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(d) / float64(halfLife))
 }
 
 func (m *Monitor) decide() {
+	before := m.failing
 	m.failing = Estimate{
 		Share:   m.share,
 		Samples: m.samples,
-	}.Failing(m.failing)
+	}.Failing(before)
+	if m.failing && !before {
+		// Few requests come from now on, and they must count beside the many before: with 40%
+		// errors, the server returned after 2.5 s in a trial although its probes failed.
+		m.recent = min(m.recent, prior)
+	}
 }
 
 // Failing reports whether the backend server is failing.
