--- a/holder/outcome.go
+++ b/holder/outcome.go
@@ -112,7 +112,7 @@
 			m.recordSilence(now)
 		}
 	case outcomeSuspect:
-		m.decideSuspect(now, o)
+		m.decideSuspect(now, e)
 	case outcomeGood:
 		o.baseline.Learn(o.length, o.wait)
 		o.state = outcomeNone
@@ -120,8 +120,9 @@
 }
 
 // decideSuspect decides the outcome of a response that began early and is complete.
-func (m *Model) decideSuspect(now time.Time, o *outcome) {
-	if !o.baseline.Short(o.length) {
+func (m *Model) decideSuspect(now time.Time, e *entry) {
+	o := &e.outcome
+	if !m.responseFailed(e) {
 		o.baseline.Learn(o.length, o.wait)
 		o.state = outcomeNone
 		m.recordOutcome(now, false)
@@ -183,7 +184,7 @@
 			m.recordSilence(now)
 		}
 	case o.state == outcomeSuspect && now.Sub(e.lastPacket) >= shortResponseGap:
-		m.decideSuspect(now, o)
+		m.decideSuspect(now, e)
 	}
 }
 
--- a/outlier/estimate.go
+++ b/outlier/estimate.go
@@ -10,11 +10,11 @@
 }
 
 const (
-	// FailingShare is the share from which on a backend server is failing, and GoodShare the
-	// one below which it no longer is. They are apart so that a server between them does not
-	// change with every request.
+	// FailingShare is the share from which on a backend server is failing.
 	FailingShare = 0.25
-	GoodShare    = 0.12
+	// GoodShare is the share below which it no longer is. It is lower than FailingShare so that
+	// a server near that does not change with every request.
+	GoodShare = 0.12
 	// MinSamples is the evidence that is needed to call a backend server failing: of fewer
 	// requests, two that fail by chance would be enough.
 	MinSamples = 8
