--- a/holder/entry.go
+++ b/holder/entry.go
@@ -74,6 +74,8 @@
 	runningPlace int
 	// overdue is set while the running request does not count against the slots.
 	overdue bool
+	// outcome is what is known of how the latest request ended.
+	outcome outcome
 	// offered is the number of packets that were forwarded in entryOffered.
 	offered uint8
 	// requestExpected is set until the first request of a flow that was admitted here.
--- a/holder/evict_test.go
+++ b/holder/evict_test.go
@@ -53,7 +53,7 @@
 func TestWaitingFlowIsNotEvicted(t *testing.T) {
 	// All entries are sampled when a flow is evicted.
 	const entries = 8
-	s := newScript()
+	s := newScript(false)
 	s.maxEntries = entries
 	s.startLoadAware(queue.Limits{}, 1, 2)
 	s.now = s.now.Add(time.Millisecond)
--- a/holder/model.go
+++ b/holder/model.go
@@ -73,6 +73,7 @@
 	// the latest sweep.
 	idleFlows int
 	nextSweep time.Time
+	outcomes  outcomes
 	stats     Stats
 	effects   []Effect
 }
@@ -225,6 +226,7 @@
 	for _, w := range m.queuedWork() {
 		s.Queue[queueClass(w.Priority)].Waiting += int(w.Requests)
 	}
+	s.FailureShare = m.outcomes.monitor.Share()
 	return s
 }
 
@@ -234,6 +236,7 @@
 
 func (m *Model) tick(now time.Time) {
 	m.load.tick(now)
+	m.tickOutcomes(now)
 	m.probeWhenSilent(now)
 	m.tickReport(now)
 	m.sweepAdmission(now)
--- a/holder/schedule_benchmark_test.go
+++ b/holder/schedule_benchmark_test.go
@@ -13,7 +13,7 @@
 // while 32 wait, and the response to the oldest running one, which starts another.
 func heldRequests() (request, response func()) {
 	const flows = 64
-	s := newScript()
+	s := newScript(false)
 	s.startLoadAware(queue.Limits{}, 1, flows)
 	sequence := uint32(1)
 	sent, answered := 0, 0
--- a/holder/schedule_test.go
+++ b/holder/schedule_test.go
@@ -55,7 +55,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &scheduleWorld{
 			t:           t,
-			script:      newScript(),
+			script:      newScript(false),
 			incarnation: 5,
 			sequence:    1,
 		}
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -32,14 +32,17 @@
 	maxEntries int
 	// loadAware is set once the model is load-aware; the effects then name their packets.
 	loadAware bool
+	// exchange has the flow on which exchange sends requests.
+	exchange exchange
 }
 
-func newScript() *script {
+func newScript(loadAware bool) *script {
 	now := time.Unix(1_800_000_000, 0)
 	return &script{
 		model: holder.NewModel(holder.Config{
 			Service:   scriptService,
 			Balancers: []netip.AddrPort{scriptBalancer},
+			LoadAware: loadAware,
 		}, now),
 		now:   now,
 		slots: 3,
@@ -47,14 +50,15 @@
 }
 
 // TestScripts runs the data files: each command is a message, and its output is the
-// effects. Only wait, burst and requests stand for many messages, and pass for none.
+// effects. Only wait, burst, requests and exchange stand for many messages, and pass for none. The
+// model is load-aware in the files of the folder outcome, and after the command load_aware.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		if strings.HasPrefix(path, filepath.Join("testdata", "rapid")) {
 			// The property tests keep the inputs of failed runs there.
 			return
 		}
-		s := newScript()
+		s := newScript(strings.Contains(path, "outcome"))
 		datadriven.RunTest(t, path, func(t *testing.T, x *datadriven.TestData) string {
 			return s.run(t, x)
 		})
@@ -82,6 +86,8 @@
 		return s.requests(t, x)
 	case "queue":
 		return s.queue()
+	case "exchange":
+		return s.exchangeAll(t, x)
 	case "burst":
 		return s.burst(number(t, x, "from"), number(t, x, "flows"))
 	}
--- a/holder/stats.go
+++ b/holder/stats.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lentilshed/lentilshed/outlier"
 	"github.com/lentilshed/lentilshed/routing"
 )
 
@@ -40,6 +41,11 @@
 	// Queue counts the requests that waited, by priority; the last has those of all
 	// priorities from its number on.
 	Queue [queueClasses]QueueStats
+	// FailedResponses counts the requests that failed at the backend server, by
+	// outlier.Failure, and FailureShare is the share of recent requests that did. Both are zero
+	// unless Config.LoadAware is set.
+	FailedResponses [outlier.Failures]uint64
+	FailureShare    float64
 	// Open is the number of flows in the table, in any state.
 	Open int
 }
