Learn the costs of routes and report the remaining work of backend servers

Load in a report was the number of requests in flight, regardless of their cost, and balancers did not know it. Agents now learn the distribution of the work of each route's requests from their responses, with a fast comparison of recent with expected work. Balancers merge the costs of all agents of a service and send them along with report requests. Nothing is decided by them yet, and without LoadAware loads stay empty.

--- a/director/member.go
+++ b/director/member.go
@@ -51,6 +51,10 @@
 	// subscribedUntil is until when this balancer is a subscriber of the agent, which
 	// reports to it without a request.
 	subscribedUntil time.Time
+	// costsSentTo is the incarnation that was last sent service-wide costs, and costsSentAt
+	// when it was.
+	costsSentTo uint64
+	costsSentAt time.Time
 	// hintReports counts the reports of this incarnation of the agent after which it was
 	// sent the hints of its flows.
 	hintReports int
--- a/director/model.go
+++ b/director/model.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/placement"
 	"github.com/lentilshed/lentilshed/routing"
@@ -72,8 +73,12 @@
 	listRequestedAt time.Time
 	queriesPending  bool
 	nextSweep       time.Time
-	stats           Stats
-	effects         []Effect
+	// costTables has the merged costs of each service, and costMerger is scratch space; both
+	// are nil unless load-aware.
+	costTables map[string]serviceTable
+	costMerger *cost.Merger
+	stats      Stats
+	effects    []Effect
 	// candidates and candidateMembers are scratch space of choose.
 	candidates       []placement.Candidate
 	candidateMembers []*member
--- a/director/report_request.go
+++ b/director/report_request.go
@@ -43,7 +43,7 @@
 	m.emit(ReportRequestEffect{
 		To:      agent.Address,
 		Service: agent.Service,
-		Costs:   m.serviceCosts(agent.Service),
+		Costs:   m.costsFor(now, agent),
 	})
 }
 
--- a/holder/entry.go
+++ b/holder/entry.go
@@ -59,6 +59,8 @@
 	// known, and answered once its response has begun.
 	started  bool
 	answered bool
+	// requests is the number of requests of the flow; it is counted only if load-aware.
+	requests uint32
 	// class is the class of the flow's requests, by the latest packet of the caller.
 	class routing.Class
 	// offered is the number of packets that were forwarded in entryOffered.
--- a/holder/model.go
+++ b/holder/model.go
@@ -43,7 +43,9 @@
 	coldBudget *target.ColdBudget
 	load       load
 	admission  admission
-	stopping   bool
+	// serviceTimes is used only if load-aware.
+	serviceTimes serviceTimes
+	stopping     bool
 	// handoverRequested has the balancers that were asked for the flows of earlier
 	// processes.
 	handoverRequested map[netip.AddrPort]bool
@@ -85,6 +87,8 @@
 		coldBudget:  target.NewColdBudget(now),
 		subscribers: NewSubscribers(now, c.Balancers),
 
+		serviceTimes: newServiceTimes(),
+
 		handoverRequested: map[netip.AddrPort]bool{},
 		declared: ConfigMsg{
 			IdleTimeout: defaultIdleTimeout,
@@ -220,6 +224,7 @@
 
 func (m *Model) tick(now time.Time) {
 	m.load.tick(now)
+	m.tickServiceTimes(now)
 	m.probeWhenSilent(now)
 	m.tickReport(now)
 	m.sweepAdmission(now)
--- a/holder/report.go
+++ b/holder/report.go
@@ -172,6 +172,9 @@
 	if msg.Declared.Version != 0 {
 		m.handleConfig(now, msg.Declared)
 	}
+	if m.config.LoadAware {
+		m.serviceTimes.table.SetPrior(msg.Costs)
+	}
 	m.subscribers.Subscribe(now, msg.From)
 	m.sendReport([]netip.AddrPort{msg.From})
 }
--- a/holder/server.go
+++ b/holder/server.go
@@ -346,6 +346,7 @@
 	m.server.announced = false
 	m.server.ready = false
 	m.coldBudget = target.NewColdBudget(now)
+	m.discardServiceTimes()
 	m.reportToAll(now)
 }
 
--- a/holder/service_time.go
+++ b/holder/service_time.go
@@ -5,15 +5,226 @@
 
 	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/routing"
 )
 
-func (m *Model) costRequestStarted(_ time.Time, _ flow.Tuple, _ *entry) {}
+// serviceTimes learns how much work the requests of each route are for the backend server,
+// and knows the requests that it has. It answers requests of different cost and backend
+// servers of different speed, which look alike in the number of requests in flight.
+type serviceTimes struct {
+	table *cost.Table
+	// running has the requests at the backend server without a response, in the order of
+	// their start.
+	running []runningRequest
+	// answered has the requests whose response has begun and that are not observed yet, in
+	// the order of their responses.
+	answered []answeredRequest
+}
+
+// runningRequest is a request at the backend server without a response.
+type runningRequest struct {
+	entry *entry
+	route routing.Address
+	// startedAt is when it was passed to the backend server, and begunAt when a slot was free
+	// for it; zero while none is.
+	startedAt time.Time
+	begunAt   time.Time
+	// lostAfter is the time from begunAt after which its response is taken for lost.
+	lostAfter time.Duration
+	// measured is set if no more requests than slots were at the backend server when it
+	// started, so that its time is work and not waiting.
+	measured bool
+}
+
+// answeredRequest is a measured request whose response has begun.
+type answeredRequest struct {
+	entry *entry
+	// number is the position of the request in its flow.
+	number uint32
+	route  routing.Address
+	at     time.Time
+	work   time.Duration
+}
+
+const (
+	// maxReportedRoutes bounds the routes in a report.
+	maxReportedRoutes = 8
+	// observeDelay is the time from the first payload of a response after which it is
+	// observed if the flow sends no further request: the agent has seen the whole response
+	// by then. A flow may pause for much longer than within which a slow backend server must
+	// be detected.
+	observeDelay = 100 * time.Millisecond
+)
 
-func (m *Model) costResponseStarted(_ time.Time, _ flow.Tuple, _ *entry, _ time.Duration) {}
+func newServiceTimes() serviceTimes {
+	return serviceTimes{
+		table: cost.NewTable(),
+	}
+}
+
+func (m *Model) costRequestStarted(now time.Time, t flow.Tuple, e *entry) {
+	c := &m.serviceTimes
+	route := routing.AddressOf(t)
+	e.requests++
+	c.table.ObserveRequest(now, route, e.requests == 1)
+	c.running = append(c.running, runningRequest{
+		entry:     e,
+		route:     route,
+		startedAt: now,
+	})
+	m.assignSlots(now)
+	r := &c.running[len(c.running)-1]
+	r.measured = r.begunAt.Equal(now) && (m.server.slots > 0 || len(c.running) == 1)
+}
+
+func (m *Model) costResponseStarted(now time.Time, _ flow.Tuple, e *entry, d time.Duration) {
+	c := &m.serviceTimes
+	r, ok := c.remove(e)
+	if ok && r.measured {
+		c.answered = append(c.answered, answeredRequest{
+			entry:  e,
+			number: e.requests,
+			route:  r.route,
+			at:     now,
+			work:   d,
+		})
+	}
+	m.assignSlots(now)
+}
+
+func (m *Model) costRequestFinished(now time.Time, _ flow.Tuple, e *entry, end requestEnd) {
+	c := &m.serviceTimes
+	if end == endResponse {
+		for i := range c.answered {
+			if a := &c.answered[i]; a.entry == e && a.number == e.requests {
+				m.observe(now, *a)
+				a.entry = nil
+			}
+		}
+		return
+	}
+	r, ok := c.remove(e)
+	if ok && end == endAbandoned && r.measured && !r.lost(now) {
+		c.table.ObserveUnfinished(now, r.route, now.Sub(r.begunAt))
+	}
+	m.assignSlots(now)
+}
 
-func (m *Model) costRequestFinished(_ time.Time, _ flow.Tuple, _ *entry, _ requestEnd) {}
+// tickServiceTimes observes the responses that have been complete for some time.
+func (m *Model) tickServiceTimes(now time.Time) {
+	if !m.config.LoadAware {
+		return
+	}
+	c := &m.serviceTimes
+	c.table.Advance(now)
+	n := 0
+	for ; n < len(c.answered); n++ {
+		a := c.answered[n]
+		if a.entry == nil {
+			continue
+		}
+		if now.Sub(a.at) < observeDelay {
+			break
+		}
+		m.observe(now, a)
+	}
+	kept := copy(c.answered, c.answered[n:])
+	clear(c.answered[kept:])
+	c.answered = c.answered[:kept]
+}
+
+// observe adds a request to what is known of its route, unless it failed: a backend server that
+// fails fast would look fast.
+func (m *Model) observe(now time.Time, a answeredRequest) {
+	if m.responseFailed(a.entry) {
+		return
+	}
+	m.serviceTimes.table.Observe(now, a.route, a.work)
+}
+
+// discardServiceTimes makes no observation of the present requests: this process was paused,
+// so their times are not known.
+func (m *Model) discardServiceTimes() {
+	c := &m.serviceTimes
+	for i := range c.running {
+		c.running[i].measured = false
+	}
+	clear(c.answered)
+	c.answered = c.answered[:0]
+}
+
+// remove removes a running request, and returns false if there is none.
+func (c *serviceTimes) remove(e *entry) (runningRequest, bool) {
+	for i, r := range c.running {
+		if r.entry == e {
+			last := len(c.running) - 1
+			copy(c.running[i:], c.running[i+1:])
+			c.running[last] = runningRequest{}
+			c.running = c.running[:last]
+			return r, true
+		}
+	}
+	return runningRequest{}, false
+}
+
+// assignSlots records which requests have begun to be processed: the backend server takes them
+// in the order of arrival. Requests whose response is lost hold no slot. Without known slots,
+// all requests have begun.
+func (m *Model) assignSlots(now time.Time) {
+	c := &m.serviceTimes
+	free := int(m.server.slots)
+	for i := range c.running {
+		r := &c.running[i]
+		if !r.begunAt.IsZero() && r.lost(now) {
+			continue
+		}
+		free--
+		if !r.begunAt.IsZero() {
+			continue
+		}
+		if free < 0 && m.server.slots > 0 {
+			return
+		}
+		r.begunAt = now
+		r.lostAfter = c.table.LostAfter(r.route)
+	}
+}
+
+// lost reports whether a request has run for so long that its response is probably lost.
+func (r *runningRequest) lost(now time.Time) bool {
+	return now.Sub(r.begunAt) > r.lostAfter
+}
+
+// serverLoad returns the work that the backend server still has to do. A request that has run
+// for very long does not count: its expected rest would be large, but its response is probably
+// lost.
+func (m *Model) serverLoad(now time.Time) cost.Load {
+	if !m.config.LoadAware {
+		return cost.Load{}
+	}
+	m.assignSlots(now)
+	c := &m.serviceTimes
+	l := cost.Load{
+		Queued: m.queuedWork(),
+		Routes: c.table.Costs(maxReportedRoutes),
+	}
+	for i := range c.running {
+		r := &c.running[i]
+		elapsed := time.Duration(0)
+		if !r.begunAt.IsZero() {
+			if r.lost(now) {
+				continue
+			}
+			elapsed = now.Sub(r.begunAt)
+		}
+		l.Running++
+		l.Rest += c.table.Rest(r.route, elapsed)
+	}
+	return l
+}
 
-// serverLoad returns the work that the backend server still has to do.
-func (m *Model) serverLoad(_ time.Time) cost.Load {
-	return cost.Load{}
+// queuedWork returns the work of the requests that wait at this agent, by priority, the most
+// urgent first.
+func (m *Model) queuedWork() []cost.PriorityWork {
+	return nil
 }
