--- a/cost/load_add.go
+++ b/cost/load_add.go
@@ -1,6 +1,7 @@
 package cost
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -24,7 +25,7 @@
 func (l *Load) Add(p routing.Priority, work time.Duration, slots uint32) {
 	work = min(max(work, 0), maxMicros*time.Microsecond)
 	if slots == 0 || (l.Running < slots && len(l.Queued) == 0) {
-		l.Running++
+		l.Running = increment(l.Running)
 		l.Rest += work
 		return
 	}
@@ -36,6 +37,14 @@
 			Priority: p,
 		})
 	}
-	l.Queued[i].Requests++
+	l.Queued[i].Requests = increment(l.Queued[i].Requests)
 	l.Queued[i].Work += work
 }
+
+// increment adds one, and does not overflow with a false report.
+func increment(n uint32) uint32 {
+	if n == math.MaxUint32 {
+		return n
+	}
+	return n + 1
+}
--- a/cost/load_wait.go
+++ b/cost/load_wait.go
@@ -13,15 +13,16 @@
 	if slots == 0 {
 		return 0
 	}
-	ahead := uint32(0)
+	// The sum of numbers in a false report may exceed 32 bits.
+	ahead := uint64(l.Running)
 	work := l.Rest
 	for _, q := range l.Queued {
 		if q.Priority <= p {
-			ahead += q.Requests
+			ahead += uint64(q.Requests)
 			work += q.Work
 		}
 	}
-	if l.Running+ahead < slots {
+	if ahead < uint64(slots) {
 		return 0
 	}
 	return work / time.Duration(slots)
--- a/cost/route_estimate.go
+++ b/cost/route_estimate.go
@@ -21,9 +21,11 @@
 	// the weight of a prior 10 samples, and that of DefaultMean one.
 	priorUnits   = 10 * newestWeight * sampleUnits / points
 	unknownUnits = newestWeight * sampleUnits / points
-	// maxKeptSamples is the weight of what was known before a change of speed. It is so
-	// small that new observations soon decide.
-	maxKeptSamples = 20
+	// maxKeptSamples bounds the weight of what was known before a change of speed, so that new
+	// observations soon decide. With 20, the tail was lost when a change was recognised in
+	// several steps: 7 s after a slowdown by five at 20 requests a second, the 99th
+	// percentile was 0.76 of the true one, and 0.93 with 100.
+	maxKeptSamples = 100
 	// minRefreshInterval is the time between two updates of a distribution with many
 	// samples: an update takes some 100 microseconds.
 	minRefreshInterval = 250 * time.Millisecond
