Test the learned costs at agents and balancers

BenchmarkRequest showed that observed requests stayed in a list until the next tick: they are now removed at once. A merge keeps its memory for the next one.

--- a/cost/merge.go
+++ b/cost/merge.go
@@ -51,10 +51,15 @@
 // Take returns the costs of the routes with the most work, at most n, and removes all reports.
 func (m *Merger) Take(n int) []RouteCost {
 	var l []RouteCost
-	for _, reports := range m.reports {
+	for route, reports := range m.reports {
+		if len(reports) == 0 {
+			delete(m.reports, route)
+			continue
+		}
 		l = append(l, m.merge(reports))
+		// The next merge probably has the same routes.
+		m.reports[route] = reports[:0]
 	}
-	clear(m.reports)
 	slices.SortFunc(l, func(a, b RouteCost) int {
 		return cmp.Or(cmp.Compare(b.work(), a.work()), compareAddresses(a.Route, b.Route))
 	})
--- a/cost/table_test.go
+++ b/cost/table_test.go
@@ -177,3 +177,24 @@
 		table.Mean(route)
 	}
 }
+
+// BenchmarkMerge merges the reports of 136 agents with eight routes each, which a balancer does
+// at most once a second for each service.
+func BenchmarkMerge(b *testing.B) {
+	var routes []cost.RouteCost
+	for i := range 8 {
+		routes = append(routes, cost.RouteCost{
+			Route:   replayRoute(i),
+			Mean:    44 * time.Millisecond,
+			Samples: 500,
+		})
+	}
+	m := cost.NewMerger()
+	b.ReportAllocs()
+	for b.Loop() {
+		for range 136 {
+			m.Add(routes, 0.9)
+		}
+		m.Take(8)
+	}
+}
--- a/holder/service_time.go
+++ b/holder/service_time.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lentilshed/lentilshed/cost"
@@ -95,10 +96,11 @@
 func (m *Model) costRequestFinished(now time.Time, _ flow.Tuple, e *entry, end requestEnd) {
 	c := &m.serviceTimes
 	if end == endResponse {
-		for i := range c.answered {
-			if a := &c.answered[i]; a.entry == e && a.number == e.requests {
-				m.observe(now, *a)
-				a.entry = nil
+		for i, a := range c.answered {
+			if a.entry == e && a.number == e.requests {
+				c.answered = slices.Delete(c.answered, i, i+1)
+				m.observe(now, a)
+				return
 			}
 		}
 		return
@@ -118,19 +120,10 @@
 	c := &m.serviceTimes
 	c.table.Advance(now)
 	n := 0
-	for ; n < len(c.answered); n++ {
-		a := c.answered[n]
-		if a.entry == nil {
-			continue
-		}
-		if now.Sub(a.at) < observeDelay {
-			break
-		}
-		m.observe(now, a)
+	for ; n < len(c.answered) && now.Sub(c.answered[n].at) >= observeDelay; n++ {
+		m.observe(now, c.answered[n])
 	}
-	kept := copy(c.answered, c.answered[n:])
-	clear(c.answered[kept:])
-	c.answered = c.answered[:kept]
+	c.answered = slices.Delete(c.answered, 0, n)
 }
 
 // observe adds a request to what is known of its route, unless it failed: a backend server that
@@ -157,10 +150,7 @@
 func (c *serviceTimes) remove(e *entry) (runningRequest, bool) {
 	for i, r := range c.running {
 		if r.entry == e {
-			last := len(c.running) - 1
-			copy(c.running[i:], c.running[i+1:])
-			c.running[last] = runningRequest{}
-			c.running = c.running[:last]
+			c.running = slices.Delete(c.running, i, i+1)
 			return r, true
 		}
 	}
