--- a/director/domain_loss.go
+++ b/director/domain_loss.go
@@ -44,21 +44,7 @@
 // domains that are silent, so that there are enough agents to tell.
 func (m *Model) tickDomainLoss(now time.Time) {
 	d := &m.domainLoss
-	if d.seen == nil {
-		d.seen = map[string]*domainSilence{}
-		d.lost = map[string]time.Time{}
-	}
-	for _, s := range d.seen {
-		*s = domainSilence{}
-	}
-	for _, agent := range m.sortedMembers {
-		s := d.seen[agent.Domain]
-		if s == nil {
-			s = &domainSilence{}
-			d.seen[agent.Domain] = s
-		}
-		s.add(now, agent)
-	}
+	d.listen(now, m.sortedMembers)
 	for domain, s := range d.seen {
 		_, lost := d.lost[domain]
 		switch {
@@ -82,6 +68,25 @@
 	}
 }
 
+// listen counts for each domain from which of its agents something was received.
+func (d *domainLoss) listen(now time.Time, members []*member) {
+	if d.seen == nil {
+		d.seen = map[string]*domainSilence{}
+		d.lost = map[string]time.Time{}
+	}
+	for _, s := range d.seen {
+		*s = domainSilence{}
+	}
+	for _, agent := range members {
+		s := d.seen[agent.Domain]
+		if s == nil {
+			s = &domainSilence{}
+			d.seen[agent.Domain] = s
+		}
+		s.add(now, agent)
+	}
+}
+
 func (s *domainSilence) add(now time.Time, agent *member) {
 	if !agent.lastReceived.IsZero() {
 		if now.Sub(agent.lastReceived) < domainLossTimeout {
--- a/holder/model.go
+++ b/holder/model.go
@@ -12,6 +12,7 @@
 
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/queue"
+	"github.com/lentilshed/lentilshed/routing"
 	"github.com/lentilshed/lentilshed/segment"
 	"github.com/lentilshed/lentilshed/target"
 )
@@ -28,6 +29,9 @@
 	// LoadAware turns on learned costs, the queue of requests and the detection of failures.
 	// Without it, nothing of them takes effect.
 	LoadAware bool
+	// OverdueAfter returns the time after which a running request of a route no longer counts
+	// against the slots; nil is twice the learned p99 of the route, 250 ms at least.
+	OverdueAfter func(routing.Address) time.Duration
 	// Queue bounds the queue of requests.
 	Queue queue.Limits
 }
@@ -47,7 +51,9 @@
 	load       load
 	schedule   schedule
 	admission  admission
-	stopping   bool
+	// serviceTimes is used only if load-aware.
+	serviceTimes serviceTimes
+	stopping     bool
 	// handoverRequested has the balancers that were asked for the flows of earlier
 	// processes.
 	handoverRequested map[netip.AddrPort]bool
@@ -93,6 +99,8 @@
 			queue: queue.New(c.Queue),
 		},
 
+		serviceTimes: newServiceTimes(),
+
 		handoverRequested: map[netip.AddrPort]bool{},
 		declared: ConfigMsg{
 			IdleTimeout: defaultIdleTimeout,
@@ -237,6 +245,7 @@
 func (m *Model) tick(now time.Time) {
 	m.load.tick(now)
 	m.tickOutcomes(now)
+	m.tickServiceTimes(now)
 	m.probeWhenSilent(now)
 	m.tickReport(now)
 	m.sweepAdmission(now)
--- a/holder/running.go
+++ b/holder/running.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"time"
 
-	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/routing"
 )
@@ -19,21 +18,13 @@
 	overdue int
 }
 
-const (
-	// minOverdue is the least time after which a request is overdue: above the response
-	// times of ordinary requests, and short beside what callers wait.
-	minOverdue = 250 * time.Millisecond
-	// overdueFactor is the multiple of the p99 of a route after which its requests are
-	// overdue.
-	overdueFactor = 2
-	// defaultP99 is the p99 of a route of which nothing is known.
-	defaultP99 = 4 * cost.DefaultMean
-)
-
 // overdueAfter returns the time after which a running request of a route no longer counts
 // against the slots.
-func (m *Model) overdueAfter(_ routing.Address) time.Duration {
-	return max(minOverdue, overdueFactor*defaultP99)
+func (m *Model) overdueAfter(route routing.Address) time.Duration {
+	if m.config.OverdueAfter != nil {
+		return m.config.OverdueAfter(route)
+	}
+	return m.serviceTimes.table.LostAfter(route)
 }
 
 // slotUsed counts a request that was passed to the backend server against the slots.
--- a/holder/schedule.go
+++ b/holder/schedule.go
@@ -225,6 +225,6 @@
 
 // expectedWork returns the time that the backend server is expected to need for a request of
 // a route.
-func (m *Model) expectedWork(_ routing.Address) time.Duration {
-	return cost.DefaultMean
+func (m *Model) expectedWork(route routing.Address) time.Duration {
+	return m.serviceTimes.table.Mean(route)
 }
--- a/holder/schedule_script_test.go
+++ b/holder/schedule_script_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/lentilshed/lentilshed/holder"
 	"github.com/lentilshed/lentilshed/queue"
+	"github.com/lentilshed/lentilshed/routing"
 	"github.com/lentilshed/lentilshed/segment"
 )
 
@@ -21,6 +22,9 @@
 		Balancers:  []netip.AddrPort{scriptBalancer},
 		LoadAware:  true,
 		Queue:      l,
+		OverdueAfter: func(routing.Address) time.Duration {
+			return scheduleOverdue
+		},
 	}, s.now)
 	s.slots = uint32(slots)
 	s.loadAware = true
