Do not take a repeated end of a response for the next response

Callers would see requests that are shed by a backend server although others wait at its agent: while a request was in flight, any payload of the backend server ended it. A retransmitted end of the previous response, whose acknowledgement was lost, freed the slot at once and was learned as a service time of some microseconds.

If load-aware, only payload beyond the highest sequence number that the backend server has sent begins a response. Without LoadAware nothing changes.

The property test repeats responses as well.

--- a/holder/entry.go
+++ b/holder/entry.go
@@ -70,6 +70,10 @@
 	// backend server, if hasPassed is set. It is only kept when Config.LoadAware is set.
 	passedTo  uint32
 	hasPassed bool
+	// sentTo is the sequence number after the last payload of the backend server, if hasSent is
+	// set. It is only kept when Config.LoadAware is set.
+	sentTo  uint32
+	hasSent bool
 	// overdueAt is when the running request no longer counts against the slots, and
 	// runningPlace is its place in the heap of such requests, plus one; zero is not in it.
 	overdueAt    time.Time
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -30,7 +30,7 @@
 	e.bytes += uint32(packet.Segment.Length)
 	e.lastPacket = now
 	m.updateState(now, e, packet.Segment)
-	if packet.Segment.Length > 0 && e.requestPending() {
+	if m.sendsNew(e, packet.Segment) && e.requestPending() {
 		d := now.Sub(e.requestedAt)
 		m.load.end(now, d)
 		m.stats.countResponse(d)
@@ -38,12 +38,39 @@
 		e.answered = true
 		m.responseStarted(now, packet.Segment.Tuple, e, d)
 	}
+	m.noteSent(e, packet.Segment)
 	m.outcomeServerPacket(now, e, packet.Segment)
 	m.recordEnd(now, e, packet.Segment, &e.backendFin, endReset)
 	m.stats.ToCaller++
 	m.emit(ToCallerEffect(packet))
 }
 
+// sendsNew reports whether a packet of the backend server has payload that it has not sent
+// before. If load-aware, a retransmitted end of the previous response is not taken for the
+// response to the request in flight.
+func (m *Model) sendsNew(e *entry, s segment.Segment) bool {
+	if s.Length == 0 {
+		return false
+	}
+	return !m.config.LoadAware || !e.hasSent || later(s.Sequence+uint32(s.Length), e.sentTo)
+}
+
+// noteSent records how far the backend server has sent.
+func (m *Model) noteSent(e *entry, s segment.Segment) {
+	if !m.config.LoadAware || s.Has(segment.Rst) {
+		// The sequence number of a reset need not be that of the flow.
+		return
+	}
+	end := s.Sequence + uint32(s.Length)
+	if s.Has(segment.Syn) {
+		end++
+	}
+	if !e.hasSent || later(end, e.sentTo) {
+		e.sentTo = end
+		e.hasSent = true
+	}
+}
+
 // rebuiltEntry returns the entry of a flow that was not in the table and of which the backend
 // server has sent a packet. It is open, unless the packet is a SYN-ACK: another backend server
 // may have accepted the same flow.
--- a/holder/schedule_benchmark_test.go
+++ b/holder/schedule_benchmark_test.go
@@ -37,9 +37,10 @@
 			}
 			responses[i] = holder.OutboundMsg{
 				Segment: segment.Segment{
-					Tuple:  scriptFlow(i + 1),
-					Flags:  segment.Ack,
-					Length: 100,
+					Tuple:    scriptFlow(i + 1),
+					Flags:    segment.Ack,
+					Sequence: sequence,
+					Length:   100,
 				},
 			}
 		}
--- a/holder/schedule_test.go
+++ b/holder/schedule_test.go
@@ -21,6 +21,9 @@
 	scheduleTimeout = 1200 * time.Millisecond
 )
 
+// responseLength is the payload of each response.
+const responseLength = 10
+
 // scheduleFlow is a flow as the test sees it.
 type scheduleFlow struct {
 	number int
@@ -36,6 +39,8 @@
 	runningAt time.Time
 	answered  bool
 	lost      bool
+	// responded is the length of all responses of the backend server.
+	responded uint32
 }
 
 // scheduleWorld drives a model with the packets of some flows, and checks what becomes of each.
@@ -73,6 +78,7 @@
 			"reset":      func(*rapid.T) { w.reset(pick(), rapid.Bool().Draw(w.t, "backend")) },
 			"answer":     func(*rapid.T) { w.answer(pick()) },
 			"answer2":    func(*rapid.T) { w.answer(pick()) },
+			"repeat":     func(*rapid.T) { w.repeat(pick()) },
 			"ack": func(*rapid.T) {
 				f := pick()
 				w.deliver(f, segment.Segment{
@@ -162,11 +168,21 @@
 		f.answered = true
 		f.runningAt = time.Time{}
 	}
+	f.responded += responseLength
+	w.repeat(f)
+}
+
+// repeat sends the latest response again, which ends no request.
+func (w *scheduleWorld) repeat(f *scheduleFlow) {
+	if f.responded == 0 {
+		return
+	}
 	w.update(holder.OutboundMsg{
 		Segment: segment.Segment{
-			Tuple:  scriptFlow(f.number),
-			Flags:  segment.Ack,
-			Length: 10,
+			Tuple:    scriptFlow(f.number),
+			Flags:    segment.Ack,
+			Sequence: f.responded - responseLength,
+			Length:   responseLength,
 		},
 	}, nil, segment.Segment{})
 }
--- a/holder/service_time_test.go
+++ b/holder/service_time_test.go
@@ -258,8 +258,10 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				s.model.Update(s.now, request)
+				request.Segment.Sequence += uint32(request.Segment.Length)
 				s.now = s.now.Add(20 * time.Millisecond)
 				s.model.Update(s.now, response)
+				response.Segment.Sequence += uint32(response.Segment.Length)
 			}
 		})
 	}
