Do not count late packets of a reset flow as requests

Callers would see requests that wait for 250 ms or longer at an agent whose backend server is idle: after a reset of either side, a retransmission that was still under way began another request, which no response ends. It used a slot until it was overdue, and counted against new flows until the flow was removed.

If load-aware, a packet of a flow that has ended goes to the backend server as before, and begins no request.

--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -146,7 +146,7 @@
 func (m *Model) passOn(now time.Time, e *entry, packet DeliverMsg) {
 	t := packet.Segment.Tuple
 	m.outcomeCallerPacket(e, packet.Segment)
-	if packet.Segment.Length > 0 && !e.requestPending() && !m.repeatsAnswered(e, packet.Segment) {
+	if m.beginsRequest(e, packet.Segment) {
 		m.finishRequest(now, t, e, endResponse)
 		e.requestedAt = now
 		m.load.begin(now)
@@ -165,6 +165,16 @@
 	m.forward(now, e, packet)
 }
 
+// beginsRequest reports whether a packet of the caller that goes to the backend server begins a
+// request there. If load-aware, late packets of a flow that has ended do not: they would use a
+// slot although the backend server discards them.
+func (m *Model) beginsRequest(e *entry, s segment.Segment) bool {
+	if s.Length == 0 || e.requestPending() {
+		return false
+	}
+	return !m.config.LoadAware || e.state != entryEnded && !m.repeatsAnswered(e, s)
+}
+
 // finishRequest ends the started request of a flow, if there is one. Once its response has
 // begun, its end is endResponse.
 func (m *Model) finishRequest(now time.Time, t flow.Tuple, e *entry, end requestEnd) {
