Ask more agents before a failure domain counts as lost

Callers of a whole domain would see their open flows reset while most of its agents run, in three cases:

- Just those agents restart of which the balancer expects reports, four or more, and their last reports were lost or they did not stop as planned.
No other agent of the domain was asked.
- The balancer was cut off, or held up for less than the pause limit.
Its silence counts for all domains, and the first reports that come back may all be of other domains.
- The balancer has started after the agents were asked to stop, so it cannot know that.

Now up to twelve agents of a silent domain are asked, four at each tick until one replies, and each must have been silent for replyTimeout. Agents of other domains must have been received for domainLossTimeout without a gap. A domain of which this process has received nothing does not count as lost; its flows are reset after lostTimeout, as before there was such a verdict. A lost domain is still recognised within 2 s (TestFlowsOfALostDomainAreReset).

Evidence: the three new tests fail on the code before.

--- a/director/domain_loss.go
+++ b/director/domain_loss.go
@@ -14,8 +14,10 @@
 type domainLoss struct {
 	// lost has the domains that count as lost, and since when.
 	lost map[string]time.Time
-	// seen is scratch space of update.
+	// seen has the domains of all agents.
 	seen map[string]*domainSilence
+	// tickedAt is when the latest tick was.
+	tickedAt time.Time
 }
 
 // domainSilence is what a balancer has received from one domain lately.
@@ -27,8 +29,18 @@
 	// silent is the number of agents that should have sent something for domainLossTimeout,
 	// have not, and were not asked to stop.
 	silent int
-	// waiting is the number of agents from which something is expected.
-	waiting int
+	// waiting is the number of agents from which something is expected, and unanswered that of
+	// those that should have sent something for replyTimeout.
+	waiting    int
+	unanswered int
+	// agents is the number of agents that were not asked to stop.
+	agents int
+	// known is set once something was received from the domain. Agents that were asked to stop
+	// before this process started cannot be told from others.
+	known bool
+	// othersSince is since when enough agents of other domains are received all the time; zero
+	// is not at present.
+	othersSince time.Time
 }
 
 const (
@@ -38,6 +50,12 @@
 	// minSilentAgents is the number of silent agents from which on a domain may count as
 	// lost. Fewer may be restarting at the same time without having said so.
 	minSilentAgents = 4
+	// maxAskedAgents is the number of agents of a silent domain that are asked before it counts
+	// as lost. The balancer may expect something of just those that are restarting.
+	maxAskedAgents = 12
+	// maxTickGap is the time between two ticks above which this process was held up, and may
+	// have datagrams that it has not read.
+	maxTickGap = 250 * time.Millisecond
 )
 
 // tickDomainLoss updates which failure domains count as lost, and requests reports from
@@ -45,6 +63,7 @@
 func (m *Model) tickDomainLoss(now time.Time) {
 	d := &m.domainLoss
 	d.listen(now, m.sortedMembers)
+	d.checkOthers(now)
 	for domain, s := range d.seen {
 		_, lost := d.lost[domain]
 		switch {
@@ -55,15 +74,16 @@
 				Event:  "agents of the failure domain are received again",
 				Member: domain,
 			})
-		case !lost && s.heard == 0 && s.silent >= minSilentAgents && d.othersHeard(domain):
+		case !lost && s.allSilent(now):
 			d.lost[domain] = now
 			m.emit(LogEffect{
 				Event:  "failure domain is lost: all of its agents are silent; its flows are reset",
 				Member: domain,
 				Count:  s.silent,
 			})
-		case s.heardNow == 0 && s.waiting > 0 && s.waiting < minSilentAgents:
-			m.requestFrom(now, domain, minSilentAgents-s.waiting)
+		case s.heardNow == 0 && s.waiting > 0 && s.waiting < maxAskedAgents:
+			// A few at each tick, as the reply of one is enough.
+			m.requestFrom(now, domain, min(minSilentAgents, maxAskedAgents-s.waiting))
 		}
 	}
 }
@@ -75,7 +95,10 @@
 		d.lost = map[string]time.Time{}
 	}
 	for _, s := range d.seen {
-		*s = domainSilence{}
+		*s = domainSilence{
+			known:       s.known,
+			othersSince: s.othersSince,
+		}
 	}
 	for _, agent := range members {
 		s := d.seen[agent.Domain]
@@ -89,6 +112,7 @@
 
 func (s *domainSilence) add(now time.Time, agent *member) {
 	if !agent.lastReceived.IsZero() {
+		s.known = true
 		if now.Sub(agent.lastReceived) < domainLossTimeout {
 			s.heard++
 		}
@@ -96,11 +120,18 @@
 			s.heardNow++
 		}
 	}
+	if agent.stopping() {
+		return
+	}
+	s.agents++
 	silence := agent.silence(now)
-	if silence == 0 || agent.stopping() {
+	if silence == 0 {
 		return
 	}
 	s.waiting++
+	if silence >= replyTimeout {
+		s.unanswered++
+	}
 	if silence >= domainLossTimeout {
 		s.silent++
 	}
@@ -111,6 +142,30 @@
 	return m.report.Stopping || m.report.Availability == holder.AvailabilityEnded
 }
 
+// allSilent reports whether nothing is received from the domain any more, although enough of its
+// agents were asked, and this balancer was not cut off at any time since.
+func (s *domainSilence) allSilent(now time.Time) bool {
+	heard := !s.known || s.heard > 0
+	hearsOthers := !s.othersSince.IsZero() && now.Sub(s.othersSince) >= domainLossTimeout
+	return !heard && hearsOthers && s.silent >= minSilentAgents && s.unanswered >= min(s.agents, maxAskedAgents)
+}
+
+// checkOthers updates since when the agents of other domains are received. After this balancer
+// was held up or cut off, reports of some domains come up to a report interval before those of
+// others.
+func (d *domainLoss) checkOthers(now time.Time) {
+	paused := now.Sub(d.tickedAt) > maxTickGap
+	d.tickedAt = now
+	for domain, s := range d.seen {
+		switch {
+		case !d.othersHeard(domain):
+			s.othersSince = time.Time{}
+		case paused || s.othersSince.IsZero():
+			s.othersSince = now
+		}
+	}
+}
+
 // othersHeard reports whether enough agents of other domains are received: otherwise this
 // balancer is cut off itself.
 func (d *domainLoss) othersHeard(domain string) bool {
--- a/director/domain_loss_test.go
+++ b/director/domain_loss_test.go
@@ -140,3 +140,101 @@
 		require.False(t, reset)
 	}
 }
+
+// reportConfigured sends a report of agent n of domain-b, which knows the configuration, so that
+// the balancer requests nothing of it.
+func (b *testBalancer) reportConfigured(n int) {
+	m := domainAgent("domain-b", n)
+	m.Sequence = uint64(b.now.UnixMilli())
+	b.update(director.ReportMsg{
+		Member: m,
+		Report: holder.Report{
+			Availability:  holder.AvailabilityOpen,
+			ConfigVersion: 1,
+		},
+	})
+}
+
+// expectReports makes the balancer expect reports of the first n agents of domain-b.
+func (b *testBalancer) expectReports(n int) {
+	for i := range n {
+		b.update(director.ConfigCheckMsg{
+			From: domainAgent("domain-b", i).Address,
+		})
+	}
+}
+
+// tickDomains sends ticks for some time, in which the agents of domain-c report, and the agents
+// of domain-b from number running on once they are asked. It reports whether a domain was lost.
+func (b *testBalancer) tickDomains(d time.Duration, running int) bool {
+	asked := map[netip.AddrPort]bool{}
+	lost := false
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.reportDomain("domain-c", 5, false)
+		for i := running; i < 8; i++ {
+			if asked[domainAgent("domain-b", i).Address] {
+				b.reportConfigured(i)
+			}
+		}
+		for _, e := range b.advance(50 * time.Millisecond) {
+			switch x := e.(type) {
+			case director.ReportRequestEffect:
+				asked[x.To] = true
+			case director.LogEffect:
+				lost = lost || x.Member == "domain-b"
+			}
+		}
+	}
+	return lost
+}
+
+// TestRestartingAgentsAreNoLostDomain guards against resets of all flows of a domain while just
+// those agents restart of which the balancer expects reports; agent 4 is its sentinel.
+func TestRestartingAgentsAreNoLostDomain(t *testing.T) {
+	for running, lost := range map[int]bool{5: false, 8: true} {
+		b := newTestBalancer()
+		for i := range 8 {
+			b.reportConfigured(i)
+		}
+		b.expectReports(5)
+		require.Equal(t, lost, b.tickDomains(3*time.Second, running))
+	}
+}
+
+// TestReturnedBalancerHasNoLostDomain guards against a domain that counts as lost because the
+// balancer was cut off or held up, and receives the agents of another domain first.
+func TestReturnedBalancerHasNoLostDomain(t *testing.T) {
+	for name, tick := range map[string]time.Duration{
+		"cut off": 50 * time.Millisecond,
+		"held up": 900 * time.Millisecond,
+	} {
+		b := newTestBalancer()
+		b.reportDomain("domain-b", 5, false)
+		b.expectReports(5)
+		b.now = b.now.Add(400 * time.Millisecond)
+		b.reportDomain("domain-c", 5, false)
+		for away := time.Duration(0); away < 1800*time.Millisecond; away += tick {
+			require.NotContains(t, fmt.Sprint(b.advance(tick)), "is lost", name)
+		}
+		require.False(t, b.tickDomains(400*time.Millisecond, 8), name)
+	}
+}
+
+// TestStartedBalancerHasNoLostDomain guards against a domain that counts as lost for a balancer
+// that has started after its agents were asked to stop.
+func TestStartedBalancerHasNoLostDomain(t *testing.T) {
+	b := newTestBalancer()
+	var l []director.Member
+	for i := range 5 {
+		l = append(l, domainAgent("domain-b", i))
+	}
+	b.update(director.MembersMsg{
+		MemberChanges: director.MemberChanges{
+			Listed: l,
+		},
+		RequestedAt: b.now,
+	})
+	b.reportDomain("domain-c", 5, false)
+	b.update(director.RestoreMsg{})
+	require.False(t, b.tickDomains(3*time.Second, 8))
+}
