Keep the cold rate after a pause of the agent's process

A cold backend server would get twice its declared rate of new flows in one second: a resumed agent begins with a budget that admits none for a second, because it may have spent the budget before. If the registry showed only now that no earlier process has sent flows, MarkUnspent ended that second, and the flows that this process had admitted were forgotten.

A resumed budget keeps what it has admitted, and MarkUnspent has no effect on it. Otherwise admissions are as before: what was admitted earlier has expired when the second is over.

--- a/holder/server.go
+++ b/holder/server.go
@@ -348,7 +348,7 @@
 func (m *Model) handleResumed(now time.Time) {
 	m.server.announced = false
 	m.server.ready = false
-	m.coldBudget = target.NewColdBudget(now)
+	m.coldBudget.Resume(now)
 	m.discardServiceTimes()
 	m.reportToAll(now)
 }
--- a/target/cold_budget.go
+++ b/target/cold_budget.go
@@ -10,17 +10,26 @@
 	// spentUntil is the time before which Admit admits no flow, because an earlier
 	// incarnation of the agent may have spent the budget.
 	spentUntil time.Time
+	// resumed is set once the agent was paused: it may have spent the budget itself.
+	resumed bool
 }
 
-// NewColdBudget returns the budget of an agent that has just started or resumed. How
-// many flows were admitted in the last second, for example by an earlier incarnation of
-// the agent, is not known, so Admit admits none for a second.
+// NewColdBudget returns the budget of an agent that has just started. How many flows an
+// earlier incarnation of the agent admitted in the last second is not known, so Admit
+// admits none for a second.
 func NewColdBudget(now time.Time) *ColdBudget {
 	return &ColdBudget{
 		spentUntil: now.Add(time.Second),
 	}
 }
 
+// Resume makes Admit admit no flow for a second after the agent was paused: the target may
+// just have got flows that were admitted before the pause.
+func (b *ColdBudget) Resume(now time.Time) {
+	b.spentUntil = now.Add(time.Second)
+	b.resumed = true
+}
+
 // Admit reports whether a cold target that can handle rate new flows a second may get
 // one more now, and if so, counts that flow. A rate below one counts as one.
 func (b *ColdBudget) Admit(now time.Time, rate float64) bool {
@@ -42,9 +51,12 @@
 }
 
 // MarkUnspent ends the time after the start in which Admit admits no flow, once it is known
-// that no earlier incarnation of the agent has sent flows to the target.
+// that no earlier incarnation of the agent has sent flows to the target. It has no effect after
+// Resume.
 func (b *ColdBudget) MarkUnspent() {
-	b.spentUntil = time.Time{}
+	if !b.resumed {
+		b.spentUntil = time.Time{}
+	}
 }
 
 func (b *ColdBudget) expire(now time.Time) {
