Admit new flows at agents by expected delay, and add placement by it

Flows were deferred and refused by the number of requests in flight, whatever their cost and urgency. When load-aware, an agent compares wait and mean cost with the route's objective and timeout, and leaves a part of a cold rate for more urgent routes. placement.ChooseByDelay is not used yet.

--- a/holder/admission.go
+++ b/holder/admission.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/flow"
+	"github.com/lentilshed/lentilshed/placement"
 )
 
 // admission decides whether a new flow should first be offered to another target. It
@@ -16,6 +18,22 @@
 	deferred map[flow.Tuple]time.Time
 	// handshakes is the number of flows whose first request is still to come.
 	handshakes int
+	// expected has the requests of these flows by the level of their priority. This and the
+	// following are set only if Config.LoadAware is.
+	expected [placement.PriorityLevels]expectedRequests
+	refused  *placement.RefusedCallers
+	cold     coldShares
+	// serverLoad returns the work that the backend server still has to do.
+	serverLoad func(time.Time) cost.Load
+	// loadCache is a recent result of serverLoad, of loadCachedAt.
+	loadCache    cost.Load
+	loadCachedAt time.Time
+}
+
+// expectedRequests are the first requests of admitted flows that are still to come.
+type expectedRequests struct {
+	requests uint32
+	work     time.Duration
 }
 
 const (
@@ -37,10 +55,24 @@
 	if slots == 0 || m.load.inFlight+a.handshakes <= slots {
 		return false
 	}
-	if at, ok := a.deferred[t]; ok && now.Sub(at) < deferralTimeout {
-		delete(a.deferred, t)
+	if a.takeDeferral(now, t) {
 		return false
 	}
+	return a.remember(now, t)
+}
+
+// takeDeferral reports whether a flow was deferred lately, and forgets it.
+func (a *admission) takeDeferral(now time.Time, t flow.Tuple) bool {
+	at, ok := a.deferred[t]
+	if !ok || now.Sub(at) >= deferralTimeout {
+		return false
+	}
+	delete(a.deferred, t)
+	return true
+}
+
+// remember adds a flow to the table of deferrals. It returns false if the table is full.
+func (a *admission) remember(now time.Time, t flow.Tuple) bool {
 	if len(a.deferred) >= maxDeferrals {
 		return false
 	}
@@ -62,6 +94,7 @@
 	if e.requestExpected {
 		e.requestExpected = false
 		m.admission.handshakes--
+		m.admission.arrived(e)
 	}
 }
 
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -47,7 +47,8 @@
 		m.forward(now, e, packet)
 		return
 	}
-	if r := m.refusal(now, packet.Segment.Tuple); r != 0 {
+	if r := m.refusal(now, packet); r != 0 {
+		m.recordRefusal(now, packet, r)
 		m.reject(packet, r)
 		return
 	}
@@ -58,6 +59,7 @@
 	}
 	m.addFlow(now, packet.Segment.Tuple, e)
 	m.expectRequest(e)
+	m.admitted(now, e, packet)
 	m.stats.Opened++
 	m.forward(now, e, packet)
 }
@@ -65,23 +67,22 @@
 // refusal returns the reason why a new flow cannot be admitted, or zero. A flow that is
 // admitted counts against the cold budget, unless the rate of cold backend servers is
 // unlimited.
-func (m *Model) refusal(now time.Time, t flow.Tuple) RejectReason {
+func (m *Model) refusal(now time.Time, packet DeliverMsg) RejectReason {
 	switch {
 	case m.stopping || m.server.draining:
 		return RejectDraining
 	case !m.server.ready || !m.server.mayOpen():
 		return RejectDown
-	case m.load.full(m.server.slots):
-		return RejectFull
-	case m.declared.MaxFlows > 0 && m.Flows() >= m.declared.MaxFlows:
-		return RejectFull
-	case m.defers(now, t):
-		return RejectBusy
+	}
+	if r := m.refusalByLoad(now, packet); r != 0 {
+		return r
+	}
+	switch {
 	case m.configured && m.declared.ColdRate <= 0:
 		// The declared rate is unlimited.
 		return 0
 	case m.server.mayBeCold(now):
-		if !m.coldBudget.Admit(now, m.coldRate()) {
+		if !m.admitsCold(now, packet) {
 			return RejectCold
 		}
 	default:
@@ -90,6 +91,20 @@
 	return 0
 }
 
+// refusalByLoad returns the reason why a new flow is returned because of the load, or zero.
+func (m *Model) refusalByLoad(now time.Time, packet DeliverMsg) RejectReason {
+	tooMany := m.declared.MaxFlows > 0 && m.Flows() >= m.declared.MaxFlows
+	switch {
+	case tooMany || m.load.full(m.server.slots):
+		return RejectFull
+	case m.config.LoadAware:
+		return m.refusalByDelay(now, packet)
+	case m.defers(now, packet.Segment.Tuple):
+		return RejectBusy
+	}
+	return 0
+}
+
 // DefaultColdRate is the number of new flows a second that a possibly cold backend
 // server gets while its declared rate is not known. The users' rules allow each cold
 // backend server this many flows a second above its declared rate.
@@ -136,6 +151,9 @@
 	if packet.Segment.Has(segment.Ack) {
 		e.lastAck = packet.Segment.Ack
 	}
+	if m.config.LoadAware && packet.Segment.Length > 0 {
+		m.requestArrived(e)
+	}
 	if m.config.LoadAware && m.held(now, e, packet) {
 		return
 	}
--- a/holder/entry.go
+++ b/holder/entry.go
@@ -65,6 +65,10 @@
 	offered uint8
 	// requestExpected is set until the first request of a flow that was admitted here.
 	requestExpected bool
+	// expectedWork is the work that this request will bring, by its route, and expectedLevel
+	// the level of its priority; expectedWork is zero unless the agent is load-aware.
+	expectedWork  time.Duration
+	expectedLevel uint8
 	// bytes is the payload that the backend server has sent.
 	bytes      uint32
 	callerFin  bool
--- a/holder/model.go
+++ b/holder/model.go
@@ -78,7 +78,7 @@
 	if c.MaxEntries <= 0 {
 		c.MaxEntries = defaultMaxEntries
 	}
-	return &Model{
+	m := &Model{
 		config:      c,
 		startedAt:   now,
 		flows:       map[flow.Tuple]*entry{},
@@ -90,6 +90,8 @@
 			IdleTimeout: defaultIdleTimeout,
 		},
 	}
+	m.admission = m.newAdmission()
+	return m
 }
 
 const (
--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -2,7 +2,11 @@
 // configuration, the candidates and the seed.
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/cost"
+)
 
 // Candidate is one target among which a choice is made.
 type Candidate struct {
@@ -23,6 +27,10 @@
 	// Silence is the time since the latest report of the target's agent, or a long time
 	// if there was none.
 	Silence time.Duration
+	// Load is the load in the latest report, and Backlog the work ahead by now. ChooseByDelay
+	// uses them; both are nil if no load is known.
+	Load    *cost.Load
+	Backlog *Backlog
 }
 
 // use returns the share of the target's slots that is in use once one more flow has
--- a/target/cold_budget.go
+++ b/target/cold_budget.go
@@ -24,11 +24,16 @@
 // Admit reports whether a cold target that can handle rate new flows a second may get
 // one more now, and if so, counts that flow. A rate below one counts as one.
 func (b *ColdBudget) Admit(now time.Time, rate float64) bool {
+	return b.AdmitBeside(now, rate, 0)
+}
+
+// AdmitBeside is like Admit, but leaves a part of the rate for other flows.
+func (b *ColdBudget) AdmitBeside(now time.Time, rate, reserved float64) bool {
 	if now.Before(b.spentUntil) {
 		return false
 	}
 	b.expire(now)
-	if float64(len(b.admitted))+1 > max(rate, 1) {
+	if float64(len(b.admitted))+1+reserved > max(rate, 1) {
 		return false
 	}
 	b.Count(now)
