Place and refuse new flows by expected delay at load-aware balancers

A balancer tried each flow at eight agents, also full ones, and then refused it although others had room. It now skips agents that are known to be full for the flow's priority, and refuses it at once only when all known ones are. Metrics count deferred and refused flows by priority.

--- a/cmd/lentilshed/passthrough_metrics.go
+++ b/cmd/lentilshed/passthrough_metrics.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/placement"
 	"github.com/lentilshed/lentilshed/telemetry"
 	"github.com/uber-go/tally/v4"
 )
@@ -50,6 +52,8 @@
 	gauge(c, "flows_verified", s.Verified)
 	gauge(c, "flows_recalled", s.Restored)
 	gauge(c, "agent_lists", s.ListRequests)
+	levelGauges(c, "flows_refused_by_priority", s.RefusedByLevel)
+	levelGauges(c, "flows_deferred", s.Deferred)
 	c.Gauge("flows_known").Update(float64(s.Hints))
 	c.Gauge("agents_known").Update(float64(s.Members))
 }
@@ -66,6 +70,8 @@
 	gauge(c, "flows_reset", s.Reset)
 	gauge(c, "probes", s.Probes)
 	gauge(c, "heartbeats_stale", s.StaleHeartbeats)
+	levelGauges(c, "flows_refused_by_priority", s.RefusedByLevel)
+	levelGauges(c, "flows_deferred", s.Deferred)
 	c.Gauge("flows_open").Update(float64(s.Open))
 	for r, n := range s.Rejected {
 		if r > 0 {
@@ -83,6 +89,15 @@
 	}
 }
 
+// levelGauges sets the gauge of each priority that has counted anything.
+func levelGauges(c tally.Scope, name string, counts [placement.PriorityLevels]uint64) {
+	for p, n := range counts {
+		if n > 0 {
+			gauge(c.Tagged(map[string]string{"priority": strconv.Itoa(p)}), name, n)
+		}
+	}
+}
+
 func gauge(c tally.Scope, name string, n uint64) {
 	c.Gauge(name).Update(float64(n))
 }
--- a/director/hint.go
+++ b/director/hint.go
@@ -32,6 +32,8 @@
 	// to them again.
 	deferred []*member
 	waits    bool
+	// cold is set once a target has returned the new flow as cold.
+	cold bool
 }
 
 // putHint caches the location of a flow. At the limit it evicts an arbitrary hint.
--- a/director/member.go
+++ b/director/member.go
@@ -60,6 +60,10 @@
 	listed bool
 	// placed counts the new flows sent since the latest report.
 	placed uint32
+	// backlog estimates the work ahead of a new flow, and full says that the agent has just
+	// returned one; both are used only if load-aware.
+	backlog placement.Backlog
+	full    fullMark
 	// key identifies the member in the draw of placement.
 	key uint64
 	// rank orders members, differently at each balancer.
--- a/director/members.go
+++ b/director/members.go
@@ -71,6 +71,9 @@
 	agent.lastReport = now
 	agent.received(now)
 	agent.placed = 0
+	if m.config.LoadAware {
+		agent.backlog.SetReport(now, msg.Load, msg.Slots)
+	}
 	m.sendHints(now, agent)
 }
 
--- a/director/model.go
+++ b/director/model.go
@@ -77,6 +77,8 @@
 	// candidates and candidateMembers are scratch space of choose.
 	candidates       []placement.Candidate
 	candidateMembers []*member
+	// admission is nil unless load-aware.
+	admission *admission
 }
 
 const (
@@ -111,6 +113,7 @@
 		hints:            map[flow.Tuple]*hint{},
 		lookups:          map[flow.Tuple]*lookup{},
 		offerHistories:   map[flow.Tuple]offerHistory{},
+		admission:        newAdmission(c),
 	}
 }
 
--- a/director/place.go
+++ b/director/place.go
@@ -58,19 +58,44 @@
 		m.reset(s, CauseNoRoute, 0)
 		return
 	}
-	if len(h.tried) >= maxPlacements {
-		m.refuse(s, len(h.tried))
+	if len(h.tried) >= m.maxTries() {
+		m.refuse(now, s, len(h.tried))
 		return
 	}
-	agent := m.chooseOrWait(now, service, h, s.Tuple.Hash(placeSalt))
+	var agent *member
+	if m.config.LoadAware {
+		agent = m.chooseByDelayOrWait(now, r, service, h, s)
+	} else {
+		agent = m.chooseOrWait(now, service, h, s.Tuple.Hash(placeSalt))
+	}
 	switch {
 	case agent != nil:
 		m.sendNew(now, agent, h, s, data)
-	case now.Sub(m.startedAt) < startGrace && len(h.tried) == 0:
+	case now.Sub(m.startedAt) < startGrace && m.mayBeStarting(h):
 		m.stats.DroppedAtStart++
+		if m.config.LoadAware {
+			delete(m.hints, s.Tuple)
+		}
 	default:
-		m.refuse(s, len(h.tried))
+		m.refuse(now, s, len(h.tried))
+	}
+}
+
+// maxTries returns the maximum number of agents to which one new flow is sent.
+func (m *Model) maxTries() int {
+	if m.config.LoadAware {
+		return maxPlacementsByDelay
+	}
+	return maxPlacements
+}
+
+// mayBeStarting reports whether no target for a flow was found because they are starting. When
+// load-aware, a flow that a target has returned as cold is tried at others first.
+func (m *Model) mayBeStarting(h *hint) bool {
+	if m.config.LoadAware {
+		return h.cold || len(h.tried) == 0 && len(m.candidates) == 0
 	}
+	return len(h.tried) == 0
 }
 
 // sendNew sends the first packet of a new flow to an agent.
@@ -78,6 +103,7 @@
 	h.member = agent
 	agent.placed++
 	m.stats.Placed++
+	m.notePlaced(now, agent, s)
 	m.putHint(s.Tuple, h)
 	m.noteOpened(now, agent)
 	m.send(agent, s.Tuple, data, false)
@@ -93,6 +119,14 @@
 			return agent
 		}
 	}
+	if agent := m.nextDeferring(h); agent != nil {
+		return agent
+	}
+	return m.choose(now, service, h, seed)
+}
+
+// nextDeferring returns the next agent at which a flow waits that was deferred there, or nil.
+func (m *Model) nextDeferring(h *hint) *member {
 	for len(h.deferred) > 0 {
 		agent := h.deferred[0]
 		h.deferred = h.deferred[1:]
@@ -101,7 +135,7 @@
 			return agent
 		}
 	}
-	return m.choose(now, service, h, seed)
+	return nil
 }
 
 const (
@@ -127,9 +161,10 @@
 }
 
 // refuse resets a new flow at once because no target was found that accepts it.
-func (m *Model) refuse(s segment.Segment, agents int) {
+func (m *Model) refuse(now time.Time, s segment.Segment, agents int) {
 	delete(m.hints, s.Tuple)
 	m.stats.Refused++
+	m.noteRefused(now, s)
 	m.reset(s, CauseNoTarget, agents)
 }
 
@@ -140,9 +175,6 @@
 		if m.outOfService[agent.Domain] || !agent.acceptsFlows() || h.hasTried(agent) {
 			continue
 		}
-		if m.config.LoadAware && m.ejected(now, agent, seed) {
-			continue
-		}
 		m.candidates = append(m.candidates, agent.candidate(now, m.config.Domain))
 		m.candidateMembers = append(m.candidateMembers, agent)
 	}
@@ -192,7 +224,9 @@
 		return
 	}
 	m.applyRejection(now, from, msg.Reason)
-	starting := msg.Reason == holder.RejectDown || msg.Reason == holder.RejectCold
+	m.noteReturned(now, from, h, msg.Segment, msg.Reason)
+	h.cold = h.cold || msg.Reason == holder.RejectCold
+	starting := msg.Reason == holder.RejectDown || msg.Reason == holder.RejectCold && !m.config.LoadAware
 	if starting && now.Sub(m.startedAt) < startGrace {
 		// The balancer and its targets may be starting together; the caller's next
 		// retransmission comes within 400 ms.
--- a/director/stats.go
+++ b/director/stats.go
@@ -1,5 +1,7 @@
 package director
 
+import "github.com/lentilshed/lentilshed/placement"
+
 // Stats counts what a balancer did since its start; Hints and Members are present
 // numbers.
 type Stats struct {
@@ -22,4 +24,8 @@
 	ListRequests    uint64
 	Hints           int
 	Members         int
+	// RefusedByLevel counts the refused new flows by the level of their priority, and
+	// Deferred those that agents have deferred. They count only if load-aware.
+	RefusedByLevel [placement.PriorityLevels]uint64
+	Deferred       [placement.PriorityLevels]uint64
 }
--- a/holder/class_admission.go
+++ b/holder/class_admission.go
@@ -134,7 +134,7 @@
 	case RejectBusy:
 		m.stats.Deferred[level]++
 	case RejectFull, RejectCold:
-		m.stats.Refused[level]++
+		m.stats.RefusedByLevel[level]++
 		m.admission.refused.Add(now, packet.Segment.Tuple.Caller)
 	}
 }
--- a/holder/stats.go
+++ b/holder/stats.go
@@ -34,10 +34,10 @@
 	StaleHeartbeats uint64
 	// Rejected counts the packets returned to balancers, by RejectReason.
 	Rejected [RejectBusy + 1]uint64
-	// Deferred and Refused count the new flows that were deferred, and that were returned as
+	// Deferred and RefusedByLevel count the new flows that were deferred, and that were returned as
 	// full or cold, by the level of their priority. They count only if load-aware.
-	Deferred [placement.PriorityLevels]uint64
-	Refused  [placement.PriorityLevels]uint64
+	Deferred       [placement.PriorityLevels]uint64
+	RefusedByLevel [placement.PriorityLevels]uint64
 	// Responses counts the responses of the backend server by their latency: each once,
 	// at the lowest of LatencyBounds that it is within, or at the end if it is above all.
 	Responses [latencyBounds + 1]uint64
