--- a/cmd/lentilshed/passthrough_metrics.go
+++ b/cmd/lentilshed/passthrough_metrics.go
@@ -7,6 +7,7 @@
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/holder"
 	"github.com/lentilshed/lentilshed/outlier"
+	"github.com/lentilshed/lentilshed/placement"
 	"github.com/lentilshed/lentilshed/telemetry"
 	"github.com/uber-go/tally/v4"
 )
@@ -52,6 +53,8 @@
 	gauge(c, "flows_verified", s.Verified)
 	gauge(c, "flows_recalled", s.Restored)
 	gauge(c, "agent_lists", s.ListRequests)
+	levelGauges(c, "flows_refused_by_priority", s.RefusedByLevel)
+	levelGauges(c, "flows_deferred", s.Deferred)
 	c.Gauge("flows_known").Update(float64(s.Hints))
 	c.Gauge("agents_known").Update(float64(s.Members))
 	c.Gauge("servers_ejected").Update(float64(s.ServersEjected))
@@ -69,6 +72,8 @@
 	gauge(c, "flows_reset", s.Reset)
 	gauge(c, "probes", s.Probes)
 	gauge(c, "heartbeats_stale", s.StaleHeartbeats)
+	levelGauges(c, "flows_refused_by_priority", s.RefusedByLevel)
+	levelGauges(c, "flows_deferred", s.Deferred)
 	c.Gauge("flows_open").Update(float64(s.Open))
 	c.Gauge("failure_share").Update(s.FailureShare)
 	for f, n := range s.FailedResponses {
@@ -108,6 +113,15 @@
 	}
 }
 
+// levelGauges sets the gauge of each priority that has counted anything.
+func levelGauges(c tally.Scope, name string, counts [placement.PriorityLevels]uint64) {
+	for p, n := range counts {
+		if n > 0 {
+			gauge(c.Tagged(map[string]string{"priority": strconv.Itoa(p)}), name, n)
+		}
+	}
+}
+
 func gauge(c tally.Scope, name string, n uint64) {
 	c.Gauge(name).Update(float64(n))
 }
--- a/director/ejection.go
+++ b/director/ejection.go
@@ -15,7 +15,7 @@
 type ejection struct {
 	// failing has the number of failing targets of each service that had any lately.
 	failing map[string]int
-	// servers is scratch space of updateEjected, and skipped are the targets that choose left
+	// servers is scratch space of updateEjected, and skipped are the targets that the latest choice left
 	// out for the present flow.
 	servers []outlier.Server
 	skipped []*member
@@ -138,8 +138,7 @@
 		}
 	}
 	for _, agent := range m.ejection.skipped {
-		m.candidates = append(m.candidates, agent.candidate(now, m.config.Domain))
-		m.candidateMembers = append(m.candidateMembers, agent)
+		m.addCandidate(now, agent)
 	}
 }
 
--- a/director/members.go
+++ b/director/members.go
@@ -72,6 +72,9 @@
 	agent.received(now)
 	agent.placed = 0
 	m.updateFailing(now, agent)
+	if m.config.LoadAware {
+		agent.backlog.SetReport(now, msg.Load, msg.Slots)
+	}
 	m.sendHints(now, agent)
 }
 
--- a/director/model.go
+++ b/director/model.go
@@ -84,6 +84,8 @@
 	candidates       []placement.Candidate
 	candidateMembers []*member
 	ejection         ejection
+	// admission is nil unless load-aware.
+	admission *admission
 }
 
 const (
@@ -118,6 +120,7 @@
 		hints:            map[flow.Tuple]*hint{},
 		lookups:          map[flow.Tuple]*lookup{},
 		offerHistories:   map[flow.Tuple]offerHistory{},
+		admission:        newAdmission(c),
 	}
 }
 
--- a/director/stats.go
+++ b/director/stats.go
@@ -1,5 +1,7 @@
 package director
 
+import "github.com/lentilshed/lentilshed/placement"
+
 // Stats counts what a balancer did since its start; Hints, Members and ServersEjected are
 // present numbers.
 type Stats struct {
@@ -23,4 +25,8 @@
 	Hints           int
 	Members         int
 	ServersEjected  int
+	// RefusedByLevel counts the refused new flows by the level of their priority, and
+	// Deferred those that agents have deferred. They count only if load-aware.
+	RefusedByLevel [placement.PriorityLevels]uint64
+	Deferred       [placement.PriorityLevels]uint64
 }
--- a/outlier/eject.go
+++ b/outlier/eject.go
@@ -20,8 +20,10 @@
 	// ejectDivisor bounds the part of a service's targets that is ejected, because the others
 	// get their flows.
 	ejectDivisor = 3
-	// ProbeDivisor is the inverse of the part of its flows that an ejected target still gets.
-	ProbeDivisor = 50
+	// ProbeDivisor is the inverse of the part of the flows for which an ejected target is a
+	// candidate. It gets about one in 50 of its share of flows: placement compares three drawn
+	// targets, and an ejected one is idle and wins whenever it is drawn.
+	ProbeDivisor = 150
 )
 
 // Eject returns the targets of a service that get no new flows but probe traffic: the failing
--- a/outlier/monitor.go
+++ b/outlier/monitor.go
@@ -7,7 +7,7 @@
 
 // Monitor keeps the failure share of one backend server. It answers a server that fails fast
 // and so looks idle: the share must rise within a second under load, and must fall again when
-// only probe traffic, one flow in ProbeDivisor, is left to show that the server has recovered.
+// only probe traffic, one in 50 of its share, is left to show that the server has recovered.
 //
 // The share is a mean that is weighted by age. A plain ratio of decayed counts would keep its
 // value without requests, so an ejected server would hardly ever return. Therefore the share
