Keep reports within 400 bytes

The routes with the least work are now left out of a report that is too large. Reports without a load do not change.

Evidence: TestReportIsBounded fails without the limit.

--- a/host/load_message.go
+++ b/host/load_message.go
@@ -7,6 +7,7 @@
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/routing"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -14,6 +15,8 @@
 	maxRouteCosts = 8
 	// maxQueuedPriorities bounds the priorities of waiting requests in one report.
 	maxQueuedPriorities = 8
+	// maxReportBytes bounds the size of a report. Agents send two a second to each subscriber.
+	maxReportBytes = 400
 )
 
 // encodeLoad returns nil for a load that was not measured, so that reports without one are not
@@ -37,6 +40,15 @@
 	return x
 }
 
+// limitRoutes removes routes from a report that is too large, those with the least work first.
+func limitRoutes(d *controlpb.Datagram) *controlpb.Datagram {
+	l := d.GetReport().GetLoad()
+	for len(l.GetRoutes()) > 0 && proto.Size(d) >= maxReportBytes {
+		l.Routes = l.Routes[:len(l.Routes)-1]
+	}
+	return d
+}
+
 func decodeLoad(x *controlpb.ServerLoad) cost.Load {
 	l := cost.Load{
 		Running: x.GetRunning(),
--- a/host/load_message_test.go
+++ b/host/load_message_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/cost"
+	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/holder"
 	"github.com/lentilshed/lentilshed/routing"
 	"github.com/stretchr/testify/require"
 )
@@ -64,3 +66,44 @@
 	require.Equal(t, routing.Priority(math.MaxUint8), l.Queued[0].Priority)
 	require.Empty(t, l.Routes)
 }
+
+// TestReportIsBounded guards against control traffic that grows with the routes of a service. The
+// routes with the most work are kept.
+func TestReportIsBounded(t *testing.T) {
+	l := cost.Load{
+		Running: 5,
+		Rest:    200 * time.Millisecond,
+	}
+	for i := range maxRouteCosts {
+		l.Queued = append(l.Queued, cost.PriorityWork{
+			Priority: routing.Priority(i),
+			Work:     time.Second,
+			Requests: 40,
+		})
+		l.Routes = append(l.Routes, cost.RouteCost{
+			Route: routing.Address{
+				Host: 0xc6120001 + uint32(i),
+				Port: 30443,
+			},
+			Mean:            44 * time.Millisecond,
+			P50:             40 * time.Millisecond,
+			P90:             300 * time.Millisecond,
+			P99:             310 * time.Millisecond,
+			Samples:         3000,
+			RequestsPerFlow: 20,
+		})
+	}
+	d := encodeReport(director.Member{
+		Name:        "side-muenchen-a-12345",
+		Service:     "liedlive-1",
+		Domain:      "muenchen-a",
+		Incarnation: 1_800_000_000_000_000,
+		Sequence:    1_000_000,
+	}, holder.Report{
+		Load: l,
+	})
+	require.LessOrEqual(t, sizeOf(t, d)-headerBytes, maxReportBytes)
+	routes := decodeLoad(d.GetReport().GetLoad()).Routes
+	require.Equal(t, l.Routes[:len(routes)], routes)
+	require.GreaterOrEqual(t, len(routes), 5)
+}
--- a/host/message.go
+++ b/host/message.go
@@ -225,7 +225,7 @@
 const milli = 1000
 
 func encodeReport(m director.Member, r holder.Report) *controlpb.Datagram {
-	return &controlpb.Datagram{
+	return limitRoutes(&controlpb.Datagram{
 		Body: &controlpb.Datagram_Report{
 			Report: &controlpb.Report{
 				Name:          m.Name,
@@ -252,7 +252,7 @@
 				FailureSamples: uint32(r.Failures.Samples),
 			},
 		},
-	}
+	})
 }
 
 var availabilities = [...]controlpb.MemberAvailability{
