--- a/placement/expected_delay.go
+++ b/placement/expected_delay.go
@@ -126,7 +126,7 @@
 		goesRemote = true
 	case x.Crowded && remote.delay+margin < local.delay && local.silent == remote.silent:
 		x.RemoteShare = (local.delay - remote.delay - margin) / local.delay
-		goesRemote = f.Returned || gate(f.Seed) < f.RemoteShare
+		goesRemote = f.Returned || !local.known || gate(f.Seed) < f.RemoteShare
 	}
 	if goesRemote {
 		x.Index = remote.index
@@ -149,6 +149,8 @@
 	score  float64
 	use    float64
 	silent bool
+	// known is true if the target's report says how much work it has.
+	known bool
 }
 
 // least returns the drawn candidate with the least score.
@@ -178,12 +180,13 @@
 	o := option{
 		use:    t.use(newFlowLoad) + penalty,
 		silent: t.Silence > c.SilenceTimeout,
+		known:  t.loadKnown(),
 	}
 	switch {
 	case costs.long:
 		o.delay = mean * (1 + growth(o.use))
 		o.score = o.delay
-	case o.silent || !t.loadKnown():
+	case o.silent || !o.known:
 		o.delay = mean * (1 + o.use)
 		o.score = o.delay
 	default:
--- a/placement/remote_share.go
+++ b/placement/remote_share.go
@@ -5,12 +5,17 @@
 	"time"
 )
 
-// remoteShareWindow is the time constant of a RemoteShare: twice the time between two reports,
-// so that the effect of a change is reported before the change is complete.
-const remoteShareWindow = time.Second
+const (
+	// remoteShareRise is the time constant with which a RemoteShare grows: callers that all
+	// return at once may crowd a domain within a second.
+	remoteShareRise = 200 * time.Millisecond
+	// remoteShareFall is that with which it shrinks: twice the time between two reports, so
+	// that the relief of the domain does not end the cause of it at once.
+	remoteShareFall = time.Second
+)
 
 // RemoteShare is the share of a service's new flows that may go to other failure domains. It
-// follows the excess of the local delay slowly: reports are half a second old, and if all
+// follows the excess of the local delay with hysteresis: reports are half a second old, and if all
 // balancers followed them at once, all flows would move to another domain and back again.
 type RemoteShare struct {
 	share     float64
@@ -25,7 +30,11 @@
 // Follow returns the share once it has moved towards wanted since the latest update.
 func (r RemoteShare) Follow(now time.Time, wanted float64) RemoteShare {
 	d := now.Sub(r.updatedAt)
-	keep := math.Exp(-float64(max(0, min(d, maxBacklog))) / float64(remoteShareWindow))
+	window := remoteShareFall
+	if wanted > r.share {
+		window = remoteShareRise
+	}
+	keep := math.Exp(-float64(bounded(d)) / float64(window))
 	return RemoteShare{
 		share:     r.share*keep + wanted*(1-keep),
 		updatedAt: now,
