--- a/director/place.go
+++ b/director/place.go
@@ -225,9 +225,7 @@
 	}
 	m.applyRejection(now, from, msg.Reason)
 	m.noteReturned(now, from, h, msg.Segment, msg.Reason)
-	h.cold = h.cold || msg.Reason == holder.RejectCold
-	starting := msg.Reason == holder.RejectDown || msg.Reason == holder.RejectCold && !m.config.LoadAware
-	if starting && now.Sub(m.startedAt) < startGrace {
+	if m.startsWith(h, msg.Reason) && now.Sub(m.startedAt) < startGrace {
 		// The balancer and its targets may be starting together; the caller's next
 		// retransmission comes within 400 ms.
 		m.stats.DroppedAtStart++
@@ -242,6 +240,13 @@
 	m.place(now, r, h, msg.Segment, msg.Data)
 }
 
+// startsWith reports whether a target has returned a new flow because it is starting, and the
+// flow is not tried at others.
+func (m *Model) startsWith(h *hint, reason holder.RejectReason) bool {
+	h.cold = h.cold || reason == holder.RejectCold
+	return reason == holder.RejectDown || reason == holder.RejectCold && !m.config.LoadAware
+}
+
 // applyRejection updates the state of an agent that refused a new flow.
 func (m *Model) applyRejection(now time.Time, agent *member, reason holder.RejectReason) {
 	switch reason {
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -329,11 +329,12 @@
 func (r *replay) arrive(x *replayFlow, s *replayServer, back bool) {
 	verdict := placement.Accept
 	inFlight := s.running + len(s.queue)
-	if r.byDelay {
+	switch {
+	case r.byDelay:
 		verdict = placement.NewLimits(replayClasses[x.class], x.retry).Admit(r.wait(x, s), time.Duration(s.learned[x.class]), back)
-	} else if inFlight >= 3*s.slots {
+	case inFlight >= 3*s.slots:
 		verdict = placement.Refuse
-	} else if inFlight > s.slots && !back {
+	case inFlight > s.slots && !back:
 		verdict = placement.Defer
 	}
 	if verdict != placement.Accept {
