--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/holder"
 	"github.com/lentilshed/lentilshed/queue"
@@ -34,6 +35,7 @@
 	loadAware bool
 	// exchange has the flow on which exchange sends requests.
 	exchange exchange
+	class    routing.Class
 }
 
 func newScript(loadAware bool) *script {
@@ -88,6 +90,15 @@
 		return s.queue()
 	case "exchange":
 		return s.exchangeAll(t, x)
+	case "new_load_aware":
+		*s = *newScript(true)
+		return ""
+	case "class":
+		s.class = scriptClass(t, x)
+		return ""
+	case "load":
+		s.setLoad(t, x)
+		return ""
 	case "burst":
 		return s.burst(number(t, x, "from"), number(t, x, "flows"))
 	}
@@ -101,6 +112,28 @@
 	return out
 }
 
+// setLoad sets the load of the backend server, with work waiting at one priority.
+func (s *script) setLoad(t *testing.T, x *datadriven.TestData) {
+	l := cost.Load{
+		Running: uint32(number(t, x, "running")),
+		Rest:    time.Duration(number(t, x, "rest_ms")) * time.Millisecond,
+		Queued: []cost.PriorityWork{
+			{
+				Priority: routing.Priority(number(t, x, "queued_priority")),
+				Work:     time.Duration(number(t, x, "queued_ms")) * time.Millisecond,
+				Requests: uint32(number(t, x, "queued")),
+			},
+		},
+		Routes: []cost.RouteCost{
+			{
+				Route: routing.AddressOf(scriptFlow(0)),
+				Mean:  time.Duration(number(t, x, "mean_ms")) * time.Millisecond,
+			},
+		},
+	}
+	s.model.SetServerLoad(func(time.Time) cost.Load { return l })
+}
+
 // wait sends ticks for the time d and prints their effects.
 func (s *script) wait(d time.Duration) string {
 	var b strings.Builder
@@ -135,6 +168,7 @@
 	for _, e := range s.model.Update(s.now, holder.DeliverMsg{
 		From:    scriptBalancer,
 		Service: scriptService,
+		Class:   s.class,
 		Segment: segment.Segment{
 			Tuple: scriptFlow(n),
 			Flags: segment.Syn,
@@ -228,13 +262,12 @@
 	m := holder.DeliverMsg{
 		From:    scriptBalancer,
 		Service: scriptService,
-		Class: routing.Class{
-			Priority:  routing.Priority(number(t, x, "priority")),
-			Objective: time.Duration(number(t, x, "objective_ms")) * time.Millisecond,
-			Timeout:   time.Duration(number(t, x, "timeout_ms")) * time.Millisecond,
-		},
+		Class:   s.class,
 		Segment: scriptSegment(t, x),
 	}
+	if x.HasArg("priority") || x.HasArg("objective_ms") || x.HasArg("timeout_ms") {
+		m.Class = scriptClass(t, x)
+	}
 	if s.loadAware && (m.Segment.Length > 0 || m.Segment.Has(segment.Fin)) {
 		m.Data = packetData(m.Segment)
 	}
@@ -244,6 +277,14 @@
 	return m
 }
 
+func scriptClass(t *testing.T, x *datadriven.TestData) routing.Class {
+	return routing.Class{
+		Priority:  routing.Priority(number(t, x, "priority")),
+		Objective: time.Duration(number(t, x, "objective_ms")) * time.Millisecond,
+		Timeout:   time.Duration(number(t, x, "timeout_ms")) * time.Millisecond,
+	}
+}
+
 func scriptConfig(t *testing.T, x *datadriven.TestData) holder.ConfigMsg {
 	idleTimeout := 15 * time.Second
 	if x.HasArg("idle_s") {
