Serve requests first that can still be answered in time

Callers saw: in the two seconds after a loss of power of everything, about half of the requests sent then were answered just after their objective, and others were refused although they could have been served in time.

Change: nine of ten responses must end in time, with 10 ms for the way; late requests count as work of the next less urgent priority in reports and admission; one of 16 starts goes to the oldest; the copies of a first packet, which callers number, tell how old the request is.

--- a/cost/table.go
+++ b/cost/table.go
@@ -133,6 +133,12 @@
 	return duration(r.distribution.mean * scale)
 }
 
+// P90 returns the work that 9 of 10 requests of a route do not exceed.
+func (t *Table) P90(route routing.Address) time.Duration {
+	r, scale := t.estimate(route)
+	return duration(r.distribution.p90 * scale)
+}
+
 // P99 returns the work that 99 of 100 requests of a route do not exceed.
 func (t *Table) P99(route routing.Address) time.Duration {
 	r, scale := t.estimate(route)
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -56,6 +56,7 @@
 		state:         entryOpening,
 		balancer:      packet.From,
 		firstSequence: packet.Segment.Sequence,
+		openedAge:     packet.Segment.Age(),
 	}
 	m.addFlow(now, packet.Segment.Tuple, e)
 	m.expectRequest(e)
--- a/holder/entry.go
+++ b/holder/entry.go
@@ -62,6 +62,8 @@
 	answered bool
 	// requests is the number of requests of the flow; it is counted only if load-aware.
 	requests uint32
+	// openedAge is how long the caller had waited when the flow was admitted here.
+	openedAge time.Duration
 	// class is the class of the flow's requests, by the latest packet of the caller.
 	class routing.Class
 	// waiting is the request of the flow that waits for a slot, nil if none does.
--- a/holder/schedule.go
+++ b/holder/schedule.go
@@ -20,13 +20,16 @@
 	closed bool
 	// fullLoggedAt is when it was last logged that the queue is full.
 	fullLoggedAt time.Time
-	// work is the memory of the result of queuedWork.
-	work []cost.PriorityWork
+	// work and ahead are the memory of the results of queuedWork and workAhead.
+	work  []cost.PriorityWork
+	ahead []cost.PriorityWork
 }
 
 const (
 	// defaultObjective is the objective of requests whose route has none.
 	defaultObjective = time.Second
+	// deadlineMargin is the part of an objective that the way to the caller and back takes.
+	deadlineMargin = 10 * time.Millisecond
 	// fullLogInterval is the least time between two log lines about a full queue.
 	fullLogInterval = 10 * time.Second
 )
@@ -73,13 +76,15 @@
 		// Running requests may have become overdue since the latest message.
 		m.startHeld(now)
 	}
+	route := routing.AddressOf(packet.Segment.Tuple)
+	sentAt := now.Add(-e.firstRequestAge())
 	r, ok := q.Add(now, queue.Arrival{
 		Flow:     packet.Segment.Tuple,
 		Priority: e.class.Priority,
-		Deadline: now.Add(orDefault(e.class.Objective, defaultObjective)),
-		GiveUpAt: now.Add(orDefault(e.class.Timeout, requestTimeout)),
+		Deadline: sentAt.Add(m.scheduledObjective(e, route)),
+		GiveUpAt: sentAt.Add(orDefault(e.class.Timeout, requestTimeout)),
 		StartBy:  startBy,
-		Work:     m.expectedWork(routing.AddressOf(packet.Segment.Tuple)),
+		Work:     m.expectedWork(route),
 	}, queuePacket(packet))
 	if !ok {
 		m.countFull(now, e.class.Priority)
@@ -89,6 +94,26 @@
 	return true
 }
 
+// scheduledObjective returns the time from a request until its response should begin. It answers
+// queues in which all requests start just before their deadline: with the mean work alone, half of
+// them would end after it. So nine of ten must end in time for a request to count as on time.
+func (m *Model) scheduledObjective(e *entry, route routing.Address) time.Duration {
+	objective := orDefault(e.class.Objective, defaultObjective)
+	t := m.serviceTimes.table
+	margin := deadlineMargin + max(0, t.P90(route)-t.Mean(route))
+	return objective - min(margin, objective/2)
+}
+
+// firstRequestAge returns how long the caller had waited when the flow was admitted, if its first
+// request is still to come. It answers a restart of everything: callers that have waited through it
+// are late in any case, and others can still be served in time.
+func (e *entry) firstRequestAge() time.Duration {
+	if e.requests > 0 {
+		return 0
+	}
+	return e.openedAge
+}
+
 func orDefault(d, other time.Duration) time.Duration {
 	if d <= 0 {
 		return other
@@ -216,6 +241,13 @@
 		int32(s.Sequence+uint32(s.Length)-e.passedTo) <= 0
 }
 
+// workAhead returns the expected work of the waiting requests that goes before new ones, by
+// their priority, the most urgent first. The result is valid until the next call.
+func (m *Model) workAhead(now time.Time) []cost.PriorityWork {
+	m.schedule.ahead = m.schedule.queue.AppendAhead(now, m.schedule.ahead[:0])
+	return m.schedule.ahead
+}
+
 // queuedWork returns the expected work of the waiting requests by priority, the most urgent
 // first. The result is valid until the next call.
 func (m *Model) queuedWork() []cost.PriorityWork {
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -311,6 +311,7 @@
 		Tuple:    scriptFlow(number(t, x, "flow")),
 		Sequence: uint32(number(t, x, "seq")),
 		Ack:      uint32(number(t, x, "upto")),
+		Copies:   uint8(number(t, x, "copies")),
 		Length:   uint16(number(t, x, "len")),
 	}
 	for name, f := range map[string]segment.Flags{
--- a/holder/service_time.go
+++ b/holder/service_time.go
@@ -195,7 +195,7 @@
 	m.assignSlots(now)
 	c := &m.serviceTimes
 	l := cost.Load{
-		Queued: m.queuedWork(),
+		Queued: m.workAhead(now),
 		Routes: c.table.Costs(maxReportedRoutes),
 	}
 	for i := range c.running {
--- a/queue/doc.go
+++ b/queue/doc.go
@@ -6,7 +6,7 @@
 // Requests start by priority, then by deadline. Three rules bend this order:
 //   - Of the requests of one priority, those that can no longer meet their deadline come after
 //     those that can.
-//   - Every fourth start of a priority goes to its longest-waiting request.
+//   - One of 16 starts of a priority goes to its longest-waiting request.
 //   - While less urgent requests wait, at least one of 16 consecutive starts is one of them.
 //
 // The queue has no clock and does no I/O.
--- a/queue/level.go
+++ b/queue/level.go
@@ -18,15 +18,18 @@
 	oldest *Request
 	newest *Request
 	work   time.Duration
-	starts uint64
+	// lateWork is the part of work of the requests in late.
+	lateWork time.Duration
+	starts   uint64
 	// streak is the number of requests of this level that were started since a less urgent
 	// one was, while such ones waited.
 	streak int
 }
 
 // oldestStarts is the number of starts of a priority of which one goes to the longest-waiting
-// request.
-const oldestStarts = 4
+// request. The others go to requests that can still be answered in time, whose responses are worth
+// more to their callers.
+const oldestStarts = 16
 
 func newLevel(p routing.Priority) *level {
 	return &level{
@@ -60,6 +63,7 @@
 	h := &l.onTime
 	if r.late {
 		h = &l.late
+		l.lateWork -= r.Work
 	}
 	heap.Remove(h, r.places[placeDeadline])
 	if r.older == nil {
@@ -82,14 +86,23 @@
 	if l.starts%oldestStarts == 0 {
 		return l.oldest
 	}
+	l.separate(now)
+	if len(l.onTime.list) > 0 {
+		return l.onTime.list[0]
+	}
+	return l.late.list[0]
+}
+
+// separate moves the requests with the earliest deadlines to the late ones while they are late.
+func (l *level) separate(now time.Time) {
 	for len(l.onTime.list) > 0 {
 		r := l.onTime.list[0]
 		if !now.Add(r.Work).After(r.Deadline) {
-			return r
+			return
 		}
 		heap.Pop(&l.onTime)
 		r.late = true
+		l.lateWork += r.Work
 		heap.Push(&l.late, r)
 	}
-	return l.late.list[0]
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 
@@ -232,6 +233,33 @@
 	return w
 }
 
+// AppendAhead appends the expected work that goes before new requests, by their priority, to w,
+// the most urgent first. Late requests go after new ones of the same priority, so their work
+// counts for the next less urgent priority.
+func (q *Queue) AppendAhead(now time.Time, w []cost.PriorityWork) []cost.PriorityWork {
+	for _, l := range q.levels {
+		l.separate(now)
+		w = addWork(w, l.priority, l.work-l.lateWork, len(l.onTime.list))
+		w = addWork(w, l.priority+min(1, math.MaxUint8-l.priority), l.lateWork, len(l.late.list))
+	}
+	return w
+}
+
+// addWork adds work to the last entry of w, if it has the same priority, or appends one.
+func addWork(w []cost.PriorityWork, p routing.Priority, work time.Duration, requests int) []cost.PriorityWork {
+	if requests == 0 {
+		return w
+	}
+	if n := len(w); n == 0 || w[n-1].Priority != p {
+		w = append(w, cost.PriorityWork{
+			Priority: p,
+		})
+	}
+	w[len(w)-1].Work += work
+	w[len(w)-1].Requests += uint32(requests)
+	return w
+}
+
 // level returns the level of a priority, and adds it if there is none.
 func (q *Queue) level(p routing.Priority) *level {
 	i, ok := slices.BinarySearchFunc(q.levels, p, func(l *level, p routing.Priority) int {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -1,6 +1,7 @@
 package queue_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/queue"
 	"github.com/lentilshed/lentilshed/routing"
@@ -113,7 +115,7 @@
 	best := slices.MinFunc(r.waiting, func(a, b *queue.Request) int {
 		for _, c := range []int{
 			order(a.Priority == p, b.Priority == p),
-			order(r.starts[p]%4 != 0 || a.ArrivedAt.Before(b.ArrivedAt), r.starts[p]%4 != 0 || b.ArrivedAt.Before(a.ArrivedAt)),
+			order(r.starts[p]%16 != 0 || a.ArrivedAt.Before(b.ArrivedAt), r.starts[p]%16 != 0 || b.ArrivedAt.Before(a.ArrivedAt)),
 			order(!now.Add(a.Work).After(a.Deadline), !now.Add(b.Work).After(b.Deadline)),
 			a.Deadline.Compare(b.Deadline),
 			a.ArrivedAt.Compare(b.ArrivedAt),
@@ -143,6 +145,22 @@
 	r.waiting = slices.DeleteFunc(r.waiting, func(y *queue.Request) bool { return x == y })
 }
 
+// ahead returns the least and the most work that goes before a new request of a priority: that
+// of late requests of the same priority does not, but only those with the earliest deadlines are
+// known to be late.
+func (r *reference) ahead(now time.Time, p routing.Priority) (least, most time.Duration) {
+	for _, x := range r.waiting {
+		if x.Priority > p {
+			continue
+		}
+		most += x.Work
+		if x.Priority < p || !now.Add(x.Work).After(x.Deadline) {
+			least += x.Work
+		}
+	}
+	return least, most
+}
+
 // TestMatchesReference guards against requests that are lost, started twice or started in
 // another order than the rules say, and against counters that drift.
 func TestMatchesReference(t *testing.T) {
@@ -211,6 +229,18 @@
 					work -= r.Work
 				}
 				require.Zero(t, work)
+				ahead := cost.Load{
+					Queued: q.AppendAhead(now, nil),
+				}
+				require.True(t, slices.IsSortedFunc(ahead.Queued, func(a, b cost.PriorityWork) int {
+					return cmp.Compare(a.Priority, b.Priority)
+				}))
+				for p := range routing.Priority(6) {
+					least, most := ref.ahead(now, p)
+					got := ahead.Wait(p, 1)
+					require.LessOrEqual(t, least, got)
+					require.LessOrEqual(t, got, most)
+				}
 			},
 		})
 	})
--- a/segment/segment.go
+++ b/segment/segment.go
@@ -2,7 +2,11 @@
 // terminate. Decoding them from packets is left to other packages.
 package segment
 
-import "github.com/lentilshed/lentilshed/flow"
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+)
 
 // Segment has the fields of one packet of a flow that decisions depend on.
 type Segment struct {
@@ -14,6 +18,21 @@
 	Ack      uint32
 	// Length is the number of payload bytes.
 	Length uint16
+	// Copies is the number of earlier copies of an initial segment; it is zero for others.
+	Copies uint8
+}
+
+// copyAges are the times after the first copy of an initial segment at which a caller sends
+// the next ones.
+var copyAges = [...]time.Duration{
+	0,
+	200 * time.Millisecond,
+	600 * time.Millisecond,
+}
+
+// Age returns the time since the caller has sent the first copy of an initial segment.
+func (s Segment) Age() time.Duration {
+	return copyAges[min(int(s.Copies), len(copyAges)-1)]
 }
 
 // Flags is a set of flags of a segment.
