--- a/holder/schedule.go
+++ b/holder/schedule.go
@@ -213,14 +213,6 @@
 	m.startHeld(now)
 }
 
-// full reports whether so many requests run or wait that another target would serve a new flow
-// sooner.
-func (m *Model) full() bool {
-	l := m.load
-	l.inFlight += m.schedule.queue.Len()
-	return l.full(m.server.slots)
-}
-
 // notePassed records how far the caller's payload has gone to the backend server.
 func (m *Model) notePassed(e *entry, s segment.Segment) {
 	if !m.config.LoadAware || s.Length == 0 {
