Report the end of an agent that has seen no backend server

Cause: a backend server had left just before. Its agent started again, found that the backend server had exited, and was stopped half a second later. It sent no report of its end, because it had received nothing from a backend server. Balancers knew it from its record and queried it; no lookup could end before the agent had been silent and unlisted for 5 s.

Change: the end of an agent is reported in any case.

--- a/holder/report.go
+++ b/holder/report.go
@@ -156,9 +156,11 @@
 	m.sendReport(m.subscribers.Recipients(now))
 }
 
-// sendReport sends a report, unless no backend server has been seen yet.
+// sendReport sends a report, unless no backend server has been seen yet. The end of an agent is
+// reported in any case: balancers may know it from the record of an earlier process, and would
+// wait for its replies.
 func (m *Model) sendReport(to []netip.AddrPort) {
-	if len(to) == 0 || !m.BackendSeen() {
+	if len(to) == 0 || (!m.BackendSeen() && m.availability() != AvailabilityEnded) {
 		return
 	}
 	m.emit(ReportEffect{
