Compare responses with service-wide ones from the first request

A backend server that failed from its first request was never detected: 200 short responses of a new incarnation gave a share of 0%, because the usual length and time were learned from them. Agents now report the mean length of good responses, and balancers send the service-wide median back, from which each incarnation starts.

--- a/cost/load.go
+++ b/cost/load.go
@@ -37,4 +37,7 @@
 	Samples uint32
 	// RequestsPerFlow is the mean number of requests of one flow; zero is unknown.
 	RequestsPerFlow float64
+	// ResponseBytes is the mean payload of a response that is not failed, in bytes; zero is
+	// unknown.
+	ResponseBytes uint32
 }
--- a/cost/merge.go
+++ b/cost/merge.go
@@ -16,14 +16,20 @@
 	// maxDeviation is the factor from the median of all reports of a route to which a report
 	// is cut. Speeds differ by a factor of three in one service.
 	maxDeviation = 4
+	// minLengthReports is the number of reports of the length of a route's responses that are
+	// needed for a service-wide one. With fewer, that of one broken backend server, which may
+	// be the first to have enough responses, would decide.
+	minLengthReports = 3
 )
 
 // Merger merges the costs that the agents of one service report into those of a backend server
 // of mean speed. The mean of a route is weighted by samples. As long as less than half of the
-// reports of a route are false, it is within maxDeviation times the range of the true ones.
+// reports of a route are false, it is within maxDeviation times the range of the true ones. The
+// length of responses is the median, which is within the range of the true ones then.
 type Merger struct {
 	reports map[routing.Address][]RouteCost
 	means   []time.Duration
+	lengths []uint32
 }
 
 // NewMerger returns a merger without reports.
@@ -97,5 +103,22 @@
 		P99:             time.Duration(p99 / total),
 		Samples:         uint32(min(total, math.MaxUint32)),
 		RequestsPerFlow: requests / max(flowTotal, 1),
+		ResponseBytes:   m.mergeLengths(reports),
 	}.bounded()
 }
+
+// mergeLengths returns the median length of the responses of one route, without weights: samples
+// are what the agents say they are.
+func (m *Merger) mergeLengths(reports []RouteCost) uint32 {
+	m.lengths = m.lengths[:0]
+	for _, c := range reports {
+		if c.ResponseBytes > 0 {
+			m.lengths = append(m.lengths, c.ResponseBytes)
+		}
+	}
+	if len(m.lengths) < minLengthReports {
+		return 0
+	}
+	slices.Sort(m.lengths)
+	return m.lengths[(len(m.lengths)-1)/2]
+}
--- a/cost/table_test.go
+++ b/cost/table_test.go
@@ -1,6 +1,7 @@
 package cost_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -76,6 +77,39 @@
 	})
 }
 
+// TestFalseLengthsAreBounded guards against an agent whose false report decides the length that all
+// compare responses with: with less than half of the reports false, it is one of the true range.
+func TestFalseLengthsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := cost.NewMerger()
+		add := func(bytes uint32) {
+			m.Add([]cost.RouteCost{
+				{
+					Mean:          time.Millisecond,
+					Samples:       rapid.Uint32Min(1).Draw(t, "samples"),
+					ResponseBytes: bytes,
+				},
+			}, 1)
+		}
+		truths := rapid.SliceOfN(rapid.Uint32Range(100, 100_000), 1, 10).Draw(t, "truths")
+		lies := rapid.SliceOfN(rapid.Uint32Min(1), 0, len(truths)-1).Draw(t, "lies")
+		for _, n := range slices.Concat(truths, lies) {
+			add(n)
+		}
+		for range rapid.IntRange(0, 5).Draw(t, "unknown") {
+			add(0)
+		}
+		l := m.Take(8)
+		require.Len(t, l, 1)
+		if len(truths)+len(lies) < 3 {
+			require.Zero(t, l[0].ResponseBytes)
+			return
+		}
+		require.GreaterOrEqual(t, l[0].ResponseBytes, slices.Min(truths))
+		require.LessOrEqual(t, l[0].ResponseBytes, slices.Max(truths))
+	})
+}
+
 // TestLongFlowsAreRecognised guards against a route with flows of many requests that is taken
 // for one of short flows until the first of them ends.
 func TestLongFlowsAreRecognised(t *testing.T) {
--- a/director/costs.go
+++ b/director/costs.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lentilshed/lentilshed/cost"
@@ -51,6 +52,7 @@
 		}
 	}
 	if l := m.costMerger.Take(maxServiceRoutes); len(l) > 0 {
+		keepLengths(l, s.costs)
 		s.costs = l
 	}
 	s.mergedAt = now
@@ -61,7 +63,8 @@
 // costsFor returns the service-wide costs to send an agent along with a report request: nil if
 // this incarnation of it was sent some lately.
 func (m *Model) costsFor(now time.Time, agent *member) []cost.RouteCost {
-	if agent.costsSentTo == agent.Incarnation && now.Sub(agent.costsSentAt) < costsInterval {
+	lately := agent.costsSentTo == agent.Incarnation && now.Sub(agent.costsSentAt) < costsInterval
+	if lately && !m.needsLengths(now, agent) {
 		return nil
 	}
 	l := m.serviceCosts(now, agent.Service)
@@ -69,5 +72,52 @@
 		agent.costsSentTo = agent.Incarnation
 		agent.costsSentAt = now
 	}
+	if hasLength(l) {
+		agent.lengthsSentTo = agent.incarnations()
+	}
 	return l
 }
+
+// incarnations are those of an agent and of the backend server beside it.
+type incarnations struct {
+	agent   uint64
+	backend uint64
+}
+
+func (m *member) incarnations() incarnations {
+	return incarnations{
+		agent:   m.Incarnation,
+		backend: m.backendIncarnation,
+	}
+}
+
+// sendLengths sends an agent the service-wide costs once for each incarnation, if it reports to
+// this balancer and so has flows of it. While flows are opened at an agent, its reports come
+// without a request, so it would not get costs along with one.
+func (m *Model) sendLengths(now time.Time, agent *member) {
+	if now.Before(agent.subscribedUntil) && m.needsLengths(now, agent) {
+		m.requestReport(now, agent)
+	}
+}
+
+// needsLengths reports whether the length of usual responses is known and was not sent to the
+// present incarnations.
+func (m *Model) needsLengths(now time.Time, agent *member) bool {
+	return agent.lengthsSentTo != agent.incarnations() && hasLength(m.serviceCosts(now, agent.Service))
+}
+
+func hasLength(l []cost.RouteCost) bool {
+	return slices.ContainsFunc(l, func(c cost.RouteCost) bool { return c.ResponseBytes > 0 })
+}
+
+// keepLengths takes over the earlier length of the responses of routes for which too few agents
+// report one, such as while most of the backend servers have just been replaced.
+func keepLengths(l, earlier []cost.RouteCost) {
+	for i := range l {
+		for _, c := range earlier {
+			if c.Route == l[i].Route && l[i].ResponseBytes == 0 {
+				l[i].ResponseBytes = c.ResponseBytes
+			}
+		}
+	}
+}
--- a/director/ejection_replay_test.go
+++ b/director/ejection_replay_test.go
@@ -30,7 +30,10 @@
 	servers  []*replayServer
 	flows    int
 	// rate is the number of flows a second.
-	rate   int
+	rate int
+	// costs is set if agents report the length of responses, and get the service-wide costs that
+	// the balancer sends.
+	costs  bool
 	result map[string]int
 	log    strings.Builder
 }
@@ -92,6 +95,7 @@
 
 func (r *ejectionReplay) setUp(t *testing.T, x *datadriven.TestData) {
 	r.rate = replayNumber(t, x, "rate")
+	r.costs = x.HasArg("costs")
 	r.balancer = director.NewModel(director.Config{
 		Name:      "balancer",
 		Domain:    "domain-a",
@@ -139,7 +143,12 @@
 			s.draining = true
 		case "replace":
 			s.coldUntil = r.now.Add(time.Duration(replayNumber(t, x, "cold_ms")) * time.Millisecond)
-			s.bytes = max(s.bytes, replayNumber(t, x, "bytes"))
+			if x.HasArg("bytes") {
+				s.bytes = replayNumber(t, x, "bytes")
+			}
+			if x.HasArg("ms") {
+				s.ms = replayNumber(t, x, "ms")
+			}
 			r.replace(s)
 		default:
 			s.fault = x.Cmd
@@ -249,11 +258,13 @@
 			})
 		case director.ReportRequestEffect:
 			s := r.servers[x.To.Addr().As4()[3]]
-			r.after(replayHop, func() {
-				r.updateAgent(s, holder.ReportRequestMsg{
-					From: replayBalancer,
-				})
-			})
+			m := holder.ReportRequestMsg{
+				From: replayBalancer,
+			}
+			if r.costs {
+				m.Costs = x.Costs
+			}
+			r.after(replayHop, func() { r.updateAgent(s, m) })
 		case director.ResetEffect:
 			r.result["refused"]++
 		case director.LogEffect:
@@ -284,6 +295,11 @@
 				Member: s.member,
 				Report: s.agent.Report(r.now),
 			}
+			if !r.costs {
+				for i := range m.Report.Load.Routes {
+					m.Report.Load.Routes[i].ResponseBytes = 0
+				}
+			}
 			r.after(replayHop, func() { r.updateBalancer(m) })
 		}
 	}
--- a/director/member.go
+++ b/director/member.go
@@ -55,6 +55,8 @@
 	// when it was.
 	costsSentTo uint64
 	costsSentAt time.Time
+	// lengthsSentTo has the incarnations that were last sent the length of usual responses.
+	lengthsSentTo incarnations
 	// hintReports counts the reports of this incarnation of the agent after which it was
 	// sent the hints of its flows.
 	hintReports int
--- a/director/members.go
+++ b/director/members.go
@@ -74,6 +74,7 @@
 	m.updateFailing(now, agent)
 	if m.config.LoadAware {
 		agent.backlog.SetReport(now, msg.Load, msg.Slots)
+		m.sendLengths(now, agent)
 	}
 	m.sendHints(now, agent)
 }
--- a/holder/outcome.go
+++ b/holder/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/outlier"
 	"github.com/lentilshed/lentilshed/routing"
@@ -81,9 +82,6 @@
 		o.state = outcomeNone
 		return
 	}
-	if m.outcomes.baselines == nil {
-		m.outcomes.baselines = outlier.Baselines{}
-	}
 	o.state = outcomeWaiting
 	o.length = 0
 	o.startedAt = now.Sub(m.startedAt)
@@ -129,6 +127,7 @@
 		return
 	}
 	o.state = outcomeShort
+	o.baseline.LearnFailed(now.Sub(m.startedAt), o.length, o.wait)
 	m.recordFailure(now, outlier.FailureShort)
 }
 
@@ -238,16 +237,31 @@
 	m.sendReport(m.subscribers.Recipients(now))
 }
 
+// learnServiceCosts takes over the service-wide costs that a balancer sent, for the cost table and
+// for the usual responses.
+func (m *Model) learnServiceCosts(costs []cost.RouteCost) {
+	m.serviceTimes.table.SetPrior(costs)
+	for _, c := range costs {
+		m.outcomes.baselines.SetService(c.Route, outlier.Usual{
+			Bytes: c.ResponseBytes,
+			Wait:  c.Mean,
+		})
+	}
+}
+
 // forgetOutcomes starts anew after the backend server was replaced: another version may have
-// other responses.
+// other responses. Only the service-wide values remain.
 func (m *Model) forgetOutcomes(now time.Time) {
 	for _, e := range m.outcomes.open {
 		e.outcome.state = outcomeNone
 		e.outcome.listed = false
 	}
 	before := m.outcomes.monitor.Failing()
+	baselines := m.outcomes.baselines
+	baselines.Forget()
 	m.outcomes = outcomes{
-		tickedAt: m.outcomes.tickedAt,
+		baselines: baselines,
+		tickedAt:  m.outcomes.tickedAt,
 	}
 	m.reportFailing(now, before)
 }
--- a/holder/report.go
+++ b/holder/report.go
@@ -173,7 +173,7 @@
 		m.handleConfig(now, msg.Declared)
 	}
 	if m.config.LoadAware {
-		m.serviceTimes.table.SetPrior(msg.Costs)
+		m.learnServiceCosts(msg.Costs)
 	}
 	m.subscribers.Subscribe(now, msg.From)
 	m.sendReport([]netip.AddrPort{msg.From})
--- a/holder/script_test.go
+++ b/holder/script_test.go
@@ -221,6 +221,13 @@
 		return holder.ReportRequestMsg{
 			From:     scriptBalancer,
 			Declared: scriptConfig(t, x),
+			Costs: []cost.RouteCost{
+				{
+					Route:         routing.AddressOf(scriptFlow(0)),
+					Mean:          time.Duration(number(t, x, "mean_ms")) * time.Millisecond,
+					ResponseBytes: uint32(number(t, x, "bytes")),
+				},
+			},
 		}
 	case "probe":
 		return holder.ProbeMsg{
--- a/holder/service_time.go
+++ b/holder/service_time.go
@@ -198,6 +198,10 @@
 		Queued: m.workAhead(now),
 		Routes: c.table.Costs(maxReportedRoutes),
 	}
+	for i := range l.Routes {
+		r := &l.Routes[i]
+		r.ResponseBytes = m.outcomes.baselines.Bytes(r.Route)
+	}
 	for i := range c.running {
 		r := &c.running[i]
 		elapsed := time.Duration(0)
--- a/host/load_message.go
+++ b/host/load_message.go
@@ -82,6 +82,7 @@
 			P99Micros:     micros32(c.P99),
 			Samples:       c.Samples,
 			RequestsMilli: uint32(min(max(c.RequestsPerFlow, 0)*milli, math.MaxUint32)),
+			ResponseBytes: c.ResponseBytes,
 		})
 	}
 	return x
@@ -106,6 +107,7 @@
 			P99:             fromMicros(uint64(c.GetP99Micros())),
 			Samples:         c.GetSamples(),
 			RequestsPerFlow: float64(c.GetRequestsMilli()) / milli,
+			ResponseBytes:   c.GetResponseBytes(),
 		})
 	}
 	return x
--- a/host/load_message_test.go
+++ b/host/load_message_test.go
@@ -37,6 +37,7 @@
 				P99:             300 * time.Millisecond,
 				Samples:         120,
 				RequestsPerFlow: 1.5,
+				ResponseBytes:   40_000,
 			},
 		},
 	}
@@ -91,6 +92,7 @@
 			P99:             310 * time.Millisecond,
 			Samples:         3000,
 			RequestsPerFlow: 20,
+			ResponseBytes:   40_000,
 		})
 	}
 	d := encodeReport(director.Member{
