--- a/director/ejection_replay_test.go
+++ b/director/ejection_replay_test.go
@@ -296,8 +296,8 @@
 				Report: s.agent.Report(r.now),
 			}
 			if !r.costs {
-				for i := range m.Report.Load.Routes {
-					m.Report.Load.Routes[i].ResponseBytes = 0
+				for i := range m.Load.Routes {
+					m.Load.Routes[i].ResponseBytes = 0
 				}
 			}
 			r.after(replayHop, func() { r.updateBalancer(m) })
