Leave load and costs out of the traffic between balancers and sentinels

With three routes, load-aware sentinel traffic took 1,965 B/s of a balancer in the largest region, whose limit for all control traffic is 3,072. Sentinels only show whether the balancer is cut off, so requests to them ask for no load and carry no costs, and their reports have neither load nor failures. A balancer that opens flows at an agent still gets them, and keeps the latest load with its age when a report has none.

--- a/director/admission.go
+++ b/director/admission.go
@@ -113,7 +113,7 @@
 
 // addCandidate adds an agent to the candidates for a new flow, with its work if load-aware.
 func (m *Model) addCandidate(now time.Time, agent *member) {
-	c := agent.candidate(now, m.config.Domain)
+	c := agent.candidate(now, m.reportedAt(agent), m.config.Domain)
 	if m.config.LoadAware {
 		c.Load = &agent.report.Load
 		c.Backlog = &agent.backlog
--- a/director/admission_test.go
+++ b/director/admission_test.go
@@ -76,6 +76,7 @@
 		Report: holder.Report{
 			Availability: holder.AvailabilityOpen,
 			Slots:        3,
+			HasLoad:      true,
 			Load: cost.Load{
 				Running: 3,
 				Rest:    work,
--- a/director/costs.go
+++ b/director/costs.go
@@ -45,8 +45,8 @@
 		m.costTables = map[string]serviceTable{}
 	}
 	for _, agent := range m.membersByService[service] {
-		age := now.Sub(agent.lastReport)
-		if !agent.lastReport.IsZero() && age <= maxMergedAge {
+		age := now.Sub(agent.lastLoad)
+		if !agent.lastLoad.IsZero() && age <= maxMergedAge {
 			m.costMerger.Add(agent.report.Load.Routes, math.Exp2(-float64(age)/float64(reportHalfLife)))
 		}
 	}
--- a/director/costs_test.go
+++ b/director/costs_test.go
@@ -7,6 +7,7 @@
 	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/segment"
 	"github.com/stretchr/testify/require"
 )
 
@@ -32,6 +33,7 @@
 	r := holder.Report{
 		Availability: holder.AvailabilityOpen,
 		Slots:        3,
+		HasLoad:      true,
 		// An agent with an older configuration would be sent one at once.
 		ConfigVersion: 1,
 	}
@@ -53,16 +55,31 @@
 	})
 }
 
-// requestedCosts lets time pass until the balancer has requested the reports of an agent, and
-// returns the costs in each request.
+// requestedCosts lets time pass while the balancer opens flows, and returns the costs in each
+// request for the reports of an agent.
 func (b *testBalancer) requestedCosts(n int, d time.Duration) [][]cost.RouteCost {
 	var l [][]cost.RouteCost
 	for end := b.now.Add(d); b.now.Before(end); {
 		b.now = b.now.Add(50 * time.Millisecond)
-		for _, e := range b.update(director.TickMsg{}) {
-			if x, ok := e.(director.ReportRequestEffect); ok && x.To == testMember(n).Address {
-				l = append(l, x.Costs)
-			}
+		t := testFlow
+		t.CallerPort = uint16(b.now.UnixMilli())
+		l = append(l, costsIn(n, b.update(director.PacketMsg{
+			Segment: segment.Segment{
+				Tuple: t,
+				Flags: segment.Syn,
+			},
+		}))...)
+		l = append(l, costsIn(n, b.update(director.TickMsg{}))...)
+	}
+	return l
+}
+
+// costsIn returns the costs in each request for the reports of an agent.
+func costsIn(n int, effects []director.Effect) [][]cost.RouteCost {
+	var l [][]cost.RouteCost
+	for _, e := range effects {
+		if x, ok := e.(director.ReportRequestEffect); ok && x.To == testMember(n).Address {
+			l = append(l, x.Costs)
 		}
 	}
 	return l
--- a/director/domain_loss.go
+++ b/director/domain_loss.go
@@ -186,7 +186,7 @@
 			return
 		}
 		if agent.Domain == domain && agent.silence(now) == 0 && !agent.stopping() {
-			m.requestReport(now, agent)
+			m.requestState(now, agent)
 			n--
 		}
 	}
--- a/director/effect.go
+++ b/director/effect.go
@@ -63,13 +63,16 @@
 	Handover bool
 }
 
-// ReportRequestEffect requests an agent's report, and sends it the declared state of
+// ReportRequestEffect requests an agent's reports, and sends it the declared state of
 // its service.
 type ReportRequestEffect struct {
 	To      netip.AddrPort
 	Service string
 	// Costs has the costs of the service's routes at a target of mean speed.
 	Costs []cost.RouteCost
+	// WithLoad asks for reports with load and failures. It is never set unless
+	// Config.LoadAware is.
+	WithLoad bool
 }
 
 // ListEffect requests a fresh list of all registered agents.
--- a/director/ejection.go
+++ b/director/ejection.go
@@ -38,7 +38,7 @@
 // reportsFailures reports whether the latest report of a failing target is so recent that it may
 // still be failing. Balancers that open few flows have no later one.
 func (m *member) reportsFailures(now time.Time) bool {
-	return m.failing && now.Sub(m.lastReport) < outlier.ReturnTimeout
+	return m.failing && now.Sub(m.lastLoad) < outlier.ReturnTimeout
 }
 
 // updateFailing applies the failure share of a report that has just come.
@@ -147,7 +147,7 @@
 func (m *Model) subscribeToEjected(now time.Time, crowded bool) {
 	for _, agent := range m.ejection.skipped {
 		near := agent.Domain == m.config.Domain
-		if (near || crowded) && agent.subscribedUntil.Sub(now) < renewLead {
+		if (near || crowded) && agent.loadUntil.Sub(now) < renewLead {
 			m.requestReport(now, agent)
 		}
 	}
--- a/director/ejection_test.go
+++ b/director/ejection_test.go
@@ -31,6 +31,7 @@
 		r := holder.Report{
 			Availability: holder.AvailabilityOpen,
 			Slots:        5,
+			HasLoad:      true,
 		}
 		if n < failing {
 			r.Failures = outlier.Estimate{
@@ -100,6 +101,7 @@
 	b.now = b.now.Add(100 * time.Millisecond)
 	for n := 1; n < ejectionTargets; n++ {
 		b.reportAgent(n, 1, holder.Report{
+			HasLoad:      true,
 			Availability: holder.AvailabilityDraining,
 		})
 	}
--- a/director/member.go
+++ b/director/member.go
@@ -37,6 +37,9 @@
 	// latest datagram of any kind was; zero if none was.
 	lastReport   time.Time
 	lastReceived time.Time
+	// lastLoad is when the latest report with load and failures was received; zero if none
+	// was. Those of report are of this time.
+	lastLoad time.Time
 	// unansweredSince is when the agent's silence began, set by the first query or
 	// request since lastReceived; zero if there was none.
 	unansweredSince time.Time
@@ -48,9 +51,13 @@
 	// flow was last sent.
 	reportRequestedAt time.Time
 	lastOpened        time.Time
+	// loadRequestedAt is when a report with load was last requested.
+	loadRequestedAt time.Time
 	// subscribedUntil is until when this balancer is a subscriber of the agent, which
 	// reports to it without a request.
 	subscribedUntil time.Time
+	// loadUntil is until when the reports have load and failures, if load-aware.
+	loadUntil time.Time
 	// costsSentTo is the incarnation that was last sent service-wide costs, and costsSentAt
 	// when it was.
 	costsSentTo uint64
@@ -138,6 +145,13 @@
 	m.subscribedUntil = now.Add(holder.ReportLease + leaseMargin)
 }
 
+// subscribeToLoad records that the agent reports to this balancer from now on, with load and
+// failures if load-aware.
+func (m *member) subscribeToLoad(now time.Time) {
+	m.subscribe(now)
+	m.loadUntil = m.subscribedUntil
+}
+
 // silence returns how long nothing was received from an agent that should have sent
 // something: since the first query that it has not replied to, or since its latest
 // datagram when a report is due. It is zero for an agent that has no reason to send. If nothing
@@ -171,11 +185,11 @@
 	return m.lastReport.IsZero() || m.report.Availability == holder.AvailabilityOpen
 }
 
-// candidate returns what the choice of a target needs to know about the member. domain
-// is the balancer's failure domain.
-func (m *member) candidate(now time.Time, domain string) placement.Candidate {
-	silence := now.Sub(m.lastReport)
-	if m.lastReport.IsZero() {
+// candidate returns what the choice of a target needs to know about the member. reportedAt
+// is when it last reported that, and domain the balancer's failure domain.
+func (m *member) candidate(now, reportedAt time.Time, domain string) placement.Candidate {
+	silence := now.Sub(reportedAt)
+	if reportedAt.IsZero() {
 		silence = time.Hour
 	}
 	return placement.Candidate{
--- a/director/members.go
+++ b/director/members.go
@@ -66,18 +66,37 @@
 		agent.backendIncarnation = msg.BackendIncarnation
 		agent.reportedIncarnation = msg.BackendIncarnation
 	}
+	restarted := agent.Incarnation != msg.Member.Incarnation
+	if m.config.LoadAware {
+		agent.keepLoad(now, &msg, restarted)
+	}
 	agent.Member = msg.Member
 	agent.report = msg.Report
 	agent.lastReport = now
 	agent.received(now)
 	agent.placed = 0
-	m.updateFailing(now, agent)
-	if m.config.LoadAware {
+	if m.config.LoadAware && (msg.HasLoad || restarted) {
+		m.updateFailing(now, agent)
 		agent.backlog.SetReport(now, msg.Load, msg.Slots)
 	}
 	m.sendHints(now, agent)
 }
 
+// keepLoad gives a report that has no load and failures the latest ones of the agent, and
+// otherwise records when they came. An agent that has restarted has lost its estimates: it has
+// neither until it reports them.
+func (m *member) keepLoad(now time.Time, msg *ReportMsg, restarted bool) {
+	switch {
+	case msg.HasLoad:
+		m.lastLoad = now
+	case restarted:
+		m.lastLoad = time.Time{}
+	default:
+		msg.Load = m.report.Load
+		msg.Failures = m.report.Failures
+	}
+}
+
 // logChange logs a change of an agent's incarnation or availability.
 func (m *Model) logChange(agent *member, msg ReportMsg) {
 	if agent.lastReport.IsZero() || agent.Incarnation != msg.Member.Incarnation || agent.report.Availability != msg.Availability {
--- a/director/model.go
+++ b/director/model.go
@@ -354,9 +354,11 @@
 func (m *Model) handleResumed(now time.Time) {
 	for _, agent := range m.sortedMembers {
 		agent.lastReport = time.Time{}
+		agent.lastLoad = time.Time{}
 		agent.lastReceived = time.Time{}
 		agent.unansweredSince = time.Time{}
 		agent.subscribedUntil = time.Time{}
+		agent.loadUntil = time.Time{}
 		m.requestReport(now, agent)
 	}
 	m.listedAt = time.Time{}
--- a/director/place.go
+++ b/director/place.go
@@ -150,7 +150,7 @@
 // another: that one has reported lately and is not ejected, and it is in this failure domain,
 // or few bytes cross domains.
 func (m *Model) servesSooner(now time.Time, agent, deferredBy *member) bool {
-	known := now.Sub(agent.lastReport) <= m.config.Placement.SilenceTimeout
+	known := now.Sub(m.reportedAt(agent)) <= m.config.Placement.SilenceTimeout
 	return known && !agent.ejected && (agent.Domain == m.config.Domain || cheapToMove(deferredBy))
 }
 
@@ -256,5 +256,6 @@
 	}
 	if agent.lastReport.IsZero() {
 		agent.lastReport = now
+		agent.lastLoad = now
 	}
 }
--- a/director/report_request.go
+++ b/director/report_request.go
@@ -11,7 +11,9 @@
 // A balancer subscribes to the reports of the agents among which it chooses targets,
 // and of a few sentinels, which show whether it is cut off itself. It needs no reports
 // of other agents. So its control traffic grows with the services for which it opens
-// flows, and not with the size of the region.
+// flows, and not with the size of the region. When load-aware, the reports of sentinels have
+// no load and no failures, and requests to them carry no costs: with three routes, sentinels
+// took 2 KB/s and a balancer of the largest region exceeded its limit of 3 KB/s.
 
 const (
 	// localSentinels and remoteSentinels are the numbers of sentinels in the balancer's
@@ -32,26 +34,60 @@
 	maxNewAgentRequests = 64
 )
 
-// requestReport requests the reports of an agent, unless it has just done so.
+// requestReport requests the reports of an agent, with load if load-aware, unless it has just
+// done so.
 func (m *Model) requestReport(now time.Time, agent *member) {
-	if now.Sub(agent.reportRequestedAt) < minReportRequestInterval {
+	if !m.mayRequestReport(now, agent) {
 		return
 	}
+	agent.loadRequestedAt = now
+	m.sendReportRequest(now, agent, ReportRequestEffect{
+		Costs:    m.costsFor(now, agent),
+		WithLoad: m.config.LoadAware,
+	})
+	agent.subscribeToLoad(now)
+}
+
+// mayRequestReport reports whether no request of the same kind was just made. One without load
+// does not delay one with load.
+func (m *Model) mayRequestReport(now time.Time, agent *member) bool {
+	last := agent.reportRequestedAt
+	if m.config.LoadAware {
+		last = agent.loadRequestedAt
+	}
+	return now.Sub(last) >= minReportRequestInterval
+}
+
+// requestState requests reports that only show whether an agent runs and is available, unless
+// any were just requested.
+func (m *Model) requestState(now time.Time, agent *member) {
+	if now.Sub(agent.reportRequestedAt) >= minReportRequestInterval {
+		m.sendReportRequest(now, agent, ReportRequestEffect{})
+	}
+}
+
+func (m *Model) sendReportRequest(now time.Time, agent *member, e ReportRequestEffect) {
 	agent.reportRequestedAt = now
 	agent.expectReply(now)
 	agent.subscribe(now)
-	m.emit(ReportRequestEffect{
-		To:      agent.Address,
-		Service: agent.Service,
-		Costs:   m.costsFor(now, agent),
-	})
+	e.To = agent.Address
+	e.Service = agent.Service
+	m.emit(e)
+}
+
+// reportedAt returns when what a choice needs was last reported.
+func (m *Model) reportedAt(agent *member) time.Time {
+	if m.config.LoadAware {
+		return agent.lastLoad
+	}
+	return agent.lastReport
 }
 
 // noteOpened records that a new flow goes to an agent. The second one within a lease
 // makes the agent add this balancer to its subscribers.
 func (m *Model) noteOpened(now time.Time, agent *member) {
 	if now.Sub(agent.lastOpened) < holder.ReportLease {
-		agent.subscribe(now)
+		agent.subscribeToLoad(now)
 	}
 	agent.lastOpened = now
 }
@@ -67,22 +103,27 @@
 			return
 		}
 		near := agent.Domain == m.config.Domain
-		if now.Sub(agent.lastReport) > staleReportAge && (near || crowded) && now.Sub(agent.reportRequestedAt) >= minReportRequestInterval {
+		if now.Sub(m.reportedAt(agent)) > staleReportAge && (near || crowded) && m.mayRequestReport(now, agent) {
 			requested++
 			m.requestReport(now, agent)
 		}
 	}
 }
 
-// tickSentinels renews the subscriptions to the sentinels before their leases end.
+// tickSentinels renews the subscriptions to the sentinels before their leases end. Sentinels to
+// which this balancer has just sent new flows are also asked for load, and sent costs.
 func (m *Model) tickSentinels(now time.Time) {
 	if m.membersChanged {
 		m.membersChanged = false
 		m.chooseSentinels()
 	}
 	for _, agent := range m.sentinels {
-		if agent.subscribedUntil.Sub(now) < renewLead {
+		switch {
+		case agent.subscribedUntil.Sub(now) >= renewLead:
+		case now.Sub(agent.lastOpened) < holder.ReportLease:
 			m.requestReport(now, agent)
+		default:
+			m.requestState(now, agent)
 		}
 	}
 }
@@ -116,7 +157,7 @@
 func (m *Model) requestUnlisted(now time.Time) {
 	for _, agent := range m.sortedMembers {
 		if !agent.listed && !now.Before(agent.subscribedUntil) {
-			m.requestReport(now, agent)
+			m.requestState(now, agent)
 		}
 	}
 }
--- a/director/restore.go
+++ b/director/restore.go
@@ -174,7 +174,7 @@
 		agent.backendIncarnation = f.BackendIncarnation
 	}
 	if agent.lastReport.IsZero() && agent.unansweredSince.IsZero() {
-		m.requestReport(now, agent)
+		m.requestState(now, agent)
 	}
 	if m.hints[f.Tuple] != nil || m.lookups[f.Tuple] != nil {
 		return true
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -34,7 +34,7 @@
 		return
 	}
 	if m.subscribers.FlowOpened(now, packet.From, m.slotUse()) {
-		m.sendReport([]netip.AddrPort{packet.From})
+		m.sendReport([]netip.AddrPort{packet.From}, false)
 	}
 }
 
--- a/holder/effect.go
+++ b/holder/effect.go
@@ -125,6 +125,8 @@
 // ReportEffect sends this agent's report to some balancers.
 type ReportEffect struct {
 	To []netip.AddrPort
+	// WithoutLoad leaves load and failures out of the report; see Report.WithoutLoad.
+	WithoutLoad bool
 }
 
 // ProbeEffect opens a connection to the backend server. Health also sends a health
--- a/holder/msg.go
+++ b/holder/msg.go
@@ -39,6 +39,9 @@
 	Declared ConfigMsg
 	// Costs has the costs of the service's routes at a target of mean speed.
 	Costs []cost.RouteCost
+	// WithoutLoad is set by a balancer that opens no flows here and so needs no load and
+	// failures. It does not end an earlier request with load.
+	WithoutLoad bool
 }
 
 // BalancersMsg lists the addresses of all registered balancers.
--- a/holder/outcome.go
+++ b/holder/outcome.go
@@ -235,7 +235,7 @@
 		Event: event,
 		Count: m.outcomes.monitor.Estimate().Percent(),
 	})
-	m.sendReport(m.subscribers.Recipients(now))
+	m.sendReports(now, m.subscribers.Recipients(now))
 }
 
 // forgetOutcomes starts anew after the backend server was replaced: another version may have
--- a/holder/report.go
+++ b/holder/report.go
@@ -60,14 +60,24 @@
 	PlannedRestart bool
 	// ConfigVersion is the version of the configuration that the agent knows; zero is none.
 	ConfigVersion uint64
-	// Load is the work that the backend server still has to do; it is zero unless
-	// Config.LoadAware is set.
+	// HasLoad is set if the report has Load and Failures, which are zero otherwise. It is never
+	// set unless Config.LoadAware is.
+	HasLoad bool
+	// Load is the work that the backend server still has to do.
 	Load cost.Load
-	// Failures is the share of requests that failed; it is zero unless Config.LoadAware is
-	// set.
+	// Failures is the share of requests that failed.
 	Failures outlier.Estimate
 }
 
+// WithoutLoad returns the report for balancers that open no flows here: they need neither load
+// nor failures.
+func (r Report) WithoutLoad() Report {
+	r.HasLoad = false
+	r.Load = cost.Load{}
+	r.Failures = outlier.Estimate{}
+	return r
+}
+
 // slotUse returns the number of requests in flight divided by the slots.
 func (m *Model) slotUse() float64 {
 	return float64(m.load.inFlight) / float64(max(m.server.slots, 1))
@@ -92,6 +102,7 @@
 		PlannedRestart: m.plannedRestart,
 		ConfigVersion:  m.declared.Version,
 
+		HasLoad:  m.config.LoadAware,
 		Load:     m.serverLoad(now),
 		Failures: m.failures(now),
 	}
@@ -142,7 +153,7 @@
 	if burst || now.Sub(m.lastReport) >= ReportInterval {
 		m.lastReport = now
 		to := m.subscribers.Recipients(now)
-		m.sendReport(to)
+		m.sendReports(now, to)
 		m.checkConfig(now, len(to) > 0)
 		m.flushConfirmations()
 	}
@@ -153,16 +164,37 @@
 func (m *Model) reportToAll(now time.Time) {
 	m.subscribers.Broadcast()
 	m.lastReport = now
-	m.sendReport(m.subscribers.Recipients(now))
+	m.sendReports(now, m.subscribers.Recipients(now))
+}
+
+// sendReports sends a report to some balancers. When load-aware, only those get load and
+// failures that open flows here: a region has many more balancers that just need to know
+// whether this agent runs, and their control traffic is limited.
+func (m *Model) sendReports(now time.Time, to []netip.AddrPort) {
+	if !m.config.LoadAware {
+		m.sendReport(to, false)
+		return
+	}
+	var full, others []netip.AddrPort
+	for _, b := range to {
+		if m.subscribers.WantsLoad(now, b) {
+			full = append(full, b)
+		} else {
+			others = append(others, b)
+		}
+	}
+	m.sendReport(full, false)
+	m.sendReport(others, true)
 }
 
 // sendReport sends a report, unless no backend server has been seen yet.
-func (m *Model) sendReport(to []netip.AddrPort) {
+func (m *Model) sendReport(to []netip.AddrPort, withoutLoad bool) {
 	if len(to) == 0 || !m.BackendSeen() {
 		return
 	}
 	m.emit(ReportEffect{
-		To: to,
+		To:          to,
+		WithoutLoad: withoutLoad,
 	})
 }
 
@@ -175,8 +207,8 @@
 	if m.config.LoadAware {
 		m.serviceTimes.table.SetPrior(msg.Costs)
 	}
-	m.subscribers.Subscribe(now, msg.From)
-	m.sendReport([]netip.AddrPort{msg.From})
+	m.subscribers.Subscribe(now, msg.From, !msg.WithoutLoad || !m.config.LoadAware)
+	m.sendReports(now, []netip.AddrPort{msg.From})
 }
 
 // handleBalancers adds the listed balancers and broadcasts a report if any is new.
--- a/holder/subscribers.go
+++ b/holder/subscribers.go
@@ -43,8 +43,11 @@
 	// lastReceived is when the balancer last sent a datagram or was listed.
 	lastReceived time.Time
 	// lastOpened is when it last sent the first packet of a flow.
-	lastOpened      time.Time
+	lastOpened time.Time
+	// subscribedUntil is until when it gets reports, and loadUntil until when these have
+	// load and failures. Without Config.LoadAware, both are equal.
 	subscribedUntil time.Time
+	loadUntil       time.Time
 }
 
 // NewSubscribers returns a table of balancers that have not subscribed yet.
@@ -66,16 +69,23 @@
 	return len(s.balancers) > n
 }
 
-// Subscribe gives a balancer reports for the time of ReportLease.
-func (s *Subscribers) Subscribe(now time.Time, from netip.AddrPort) {
+// Subscribe gives a balancer reports for the time of ReportLease. withLoad is whether it wants
+// load and failures; a subscription without them does not shorten one that has them.
+func (s *Subscribers) Subscribe(now time.Time, from netip.AddrPort, withLoad bool) {
 	if b := s.subscriber(now, from); b != nil {
-		b.subscribedUntil = now.Add(ReportLease)
+		b.subscribe(now, withLoad)
 	}
 }
 
+// WantsLoad reports whether a balancer has subscribed to reports with load and failures.
+func (s *Subscribers) WantsLoad(now time.Time, balancer netip.AddrPort) bool {
+	b := s.balancers[balancer]
+	return b != nil && now.Before(b.loadUntil)
+}
+
 // FlowOpened records that a balancer sent the first packet of a flow, and reports
-// whether the balancer gets a report at once. A second such packet within ReportLease
-// subscribes the balancer. use is the number of requests in flight divided by the slots.
+// whether the balancer gets a report at once, with load. A second such packet within
+// ReportLease subscribes the balancer to such reports. use is the number of requests in flight divided by the slots.
 func (s *Subscribers) FlowOpened(now time.Time, from netip.AddrPort, use float64) bool {
 	b := s.subscriber(now, from)
 	if b == nil {
@@ -83,9 +93,9 @@
 	}
 	again := !b.lastOpened.IsZero() && now.Sub(b.lastOpened) < ReportLease
 	b.lastOpened = now
-	subscribed := now.Before(b.subscribedUntil)
+	subscribed := now.Before(b.loadUntil)
 	if again {
-		b.subscribedUntil = now.Add(ReportLease)
+		b.subscribe(now, true)
 	}
 	return !subscribed && (again || use >= immediateReportUse)
 }
@@ -141,3 +151,10 @@
 	b.lastReceived = now
 	return b
 }
+
+func (b *subscriber) subscribe(now time.Time, withLoad bool) {
+	b.subscribedUntil = now.Add(ReportLease)
+	if withLoad {
+		b.loadUntil = b.subscribedUntil
+	}
+}
--- a/host/agent.go
+++ b/host/agent.go
@@ -245,9 +245,13 @@
 
 // sendReport sends a report on this target to some balancers. The caller holds the
 // lock.
-func (a *Agent) sendReport(now time.Time, to []netip.AddrPort) {
+func (a *Agent) sendReport(now time.Time, e holder.ReportEffect) {
 	a.self.Sequence++
-	a.sendControl(encodeReport(a.self, a.model.Report(now)), to)
+	r := a.model.Report(now)
+	if e.WithoutLoad {
+		r = r.WithoutLoad()
+	}
+	a.sendControl(encodeReport(a.self, r), e.To)
 }
 
 func (a *Agent) send(s *socket, b []byte, to netip.AddrPort) {
--- a/host/agent_peer.go
+++ b/host/agent_peer.go
@@ -88,7 +88,7 @@
 	case holder.ReplyEffect:
 		a.sendControl(encodeReply(x), []netip.AddrPort{x.To})
 	case holder.ReportEffect:
-		a.sendReport(now, x.To)
+		a.sendReport(now, x)
 	case holder.ConfigCheckEffect:
 		a.sendControl(encodeConfigCheck(x), []netip.AddrPort{x.To})
 	case holder.HandoverEffect:
--- a/host/balancer_perform.go
+++ b/host/balancer_perform.go
@@ -76,7 +76,7 @@
 	case director.HintsEffect:
 		b.sendControl(encodeHints(x), x.To)
 	case director.ReportRequestEffect:
-		b.sendControl(encodeReportRequest(b.model.Declared(), x.Service, x.Costs), x.To)
+		b.sendControl(encodeReportRequest(b.model.Declared(), x), x.To)
 	case director.ListEffect:
 		b.requestRead(freshness.KindAgents)
 	case director.LogEffect:
--- a/host/load_message.go
+++ b/host/load_message.go
@@ -19,10 +19,10 @@
 	maxReportBytes = 400
 )
 
-// encodeLoad returns nil for a load that was not measured, so that reports without one are not
-// larger.
-func encodeLoad(l cost.Load) *controlpb.ServerLoad {
-	if l.Running == 0 && len(l.Queued) == 0 && len(l.Routes) == 0 {
+// encodeLoad returns nil for a report without load and failures, so that it is not larger.
+// The receiver takes an empty load, unlike none, for one that has been measured.
+func encodeLoad(hasLoad bool, l cost.Load) *controlpb.ServerLoad {
+	if !hasLoad {
 		return nil
 	}
 	x := &controlpb.ServerLoad{
--- a/host/load_message_test.go
+++ b/host/load_message_test.go
@@ -40,8 +40,9 @@
 			},
 		},
 	}
-	require.Equal(t, l, decodeLoad(encodeLoad(l)))
-	require.Nil(t, encodeLoad(cost.Load{}), "a report without a load must not grow")
+	require.Equal(t, l, decodeLoad(encodeLoad(true, l)))
+	require.NotNil(t, encodeLoad(true, cost.Load{}), "a load of nothing differs from none")
+	require.Nil(t, encodeLoad(false, cost.Load{}), "a report without a load must not grow")
 	require.Equal(t, cost.Load{}, decodeLoad(nil))
 }
 
@@ -100,7 +101,8 @@
 		Incarnation: 1_800_000_000_000_000,
 		Sequence:    1_000_000,
 	}, holder.Report{
-		Load: l,
+		HasLoad: true,
+		Load:    l,
 	})
 	require.LessOrEqual(t, sizeOf(t, d)-headerBytes, maxReportBytes)
 	routes := decodeLoad(d.GetReport().GetLoad()).Routes
--- a/host/message.go
+++ b/host/message.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/controlpb"
-	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/holder"
@@ -31,12 +30,13 @@
 	}
 }
 
-func encodeReportRequest(c *routing.Config, service string, costs []cost.RouteCost) *controlpb.Datagram {
+func encodeReportRequest(c *routing.Config, e director.ReportRequestEffect) *controlpb.Datagram {
 	x := &controlpb.Solicit{
-		Costs: encodeCosts(costs),
+		Costs:    encodeCosts(e.Costs),
+		WithLoad: e.WithLoad,
 	}
 	if c != nil {
-		s := serviceConfig(c, service)
+		s := serviceConfig(c, e.Service)
 		x.ConfigVersion = s.Version
 		x.ColdRateMilli = uint64(s.ColdRate * milli)
 		x.MaxFlows = uint32(s.MaxFlows)
@@ -60,7 +60,8 @@
 			WarmUp:      fromMilliseconds(x.GetWarmUpMs()),
 			IdleTimeout: fromMilliseconds(x.GetIdleTimeoutMs()),
 		},
-		Costs: decodeCosts(x.GetCosts()),
+		Costs:       decodeCosts(x.GetCosts()),
+		WithoutLoad: !x.GetWithLoad(),
 	}
 }
 
@@ -247,7 +248,7 @@
 
 				PlannedRestart: r.PlannedRestart,
 
-				Load:           encodeLoad(r.Load),
+				Load:           encodeLoad(r.HasLoad, r.Load),
 				FailureMilli:   uint32(r.Failures.Share * milli),
 				FailureSamples: uint32(r.Failures.Samples),
 			},
@@ -286,7 +287,8 @@
 			PlannedRestart: r.GetPlannedRestart(),
 			ConfigVersion:  r.GetConfigVersion(),
 
-			Load: decodeLoad(r.GetLoad()),
+			HasLoad: r.GetLoad() != nil,
+			Load:    decodeLoad(r.GetLoad()),
 			Failures: outlier.Estimate{
 				Share:   min(float64(r.GetFailureMilli())/milli, 1),
 				Samples: float64(r.GetFailureSamples()),
--- a/host/message_test.go
+++ b/host/message_test.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/controlpb"
+	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/freshness"
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/outlier"
 	"github.com/lentilshed/lentilshed/relay"
 	"github.com/lentilshed/lentilshed/routing"
 	"github.com/stretchr/testify/require"
@@ -30,6 +32,33 @@
 // region, with 47 new flows a second at a balancer and 4.7 at an agent. An agent hardly
 // gets two flows from the same balancer within a lease.
 func TestControlFitsItsBudget(t *testing.T) {
+	loadReport := holder.Report{
+		HasLoad: true,
+		Load: cost.Load{
+			Running: 5,
+			Rest:    200 * time.Millisecond,
+			Routes:  make([]cost.RouteCost, 3),
+		},
+		Failures: outlier.Estimate{
+			Share:   0.2,
+			Samples: 500,
+		},
+	}
+	for _, x := range []struct {
+		name string
+		load holder.Report
+	}{
+		{name: "without load"},
+		// What an agent sends to a balancer to which it is only a sentinel.
+		{name: "load-aware", load: loadReport.WithoutLoad()},
+	} {
+		t.Run(x.name, func(t *testing.T) { testBudget(t, x.load) })
+	}
+}
+
+// testBudget checks the traffic with the load and failures of the reports of sentinels.
+func testBudget(t *testing.T, load holder.Report) {
+	t.Helper()
 	report := sizeOf(t, encodeReport(director.Member{
 		Name:        "side-muenchen-a-12345",
 		Service:     "liedlive-1",
@@ -46,6 +75,10 @@
 		Latency:            50 * time.Millisecond,
 
 		ConfigVersion: 1_000_000,
+
+		HasLoad:  load.HasLoad,
+		Load:     load.Load,
+		Failures: load.Failures,
 	}))
 	d := freshness.DigestMsg{
 		From: netip.MustParseAddrPort("10.1.0.10:7720"),
@@ -70,7 +103,9 @@
 			"liedlive-1": {ColdRate: 20, MaxFlows: 2000},
 		},
 		IdleTimeout: 15 * time.Second,
-	}, "liedlive-1", nil))
+	}, director.ReportRequestEffect{
+		Service: "liedlive-1",
+	}))
 	query := sizeOf(t, encodeQuery([]holder.QueriedFlow{
 		{
 			Tuple: flow.Tuple{
