Do not count agents that never sent a load as silent

While a deployment is being switched to load-aware, agents that are not yet send reports without a load. A load-aware balancer that dated them by the load would use them only as a last resort.

--- a/director/report_request.go
+++ b/director/report_request.go
@@ -75,14 +75,23 @@
 	m.emit(e)
 }
 
-// reportedAt returns when what a choice needs was last reported.
+// reportedAt returns when what a choice needs was last reported. An agent that has never sent
+// its load, because it is not load-aware yet, must not count as silent.
 func (m *Model) reportedAt(agent *member) time.Time {
-	if m.config.LoadAware {
+	if m.config.LoadAware && !agent.lastLoad.IsZero() {
 		return agent.lastLoad
 	}
 	return agent.lastReport
 }
 
+// lacksReport reports whether the latest report that has what a choice needs is too old.
+func (m *Model) lacksReport(now time.Time, agent *member) bool {
+	if m.config.LoadAware {
+		return now.Sub(agent.lastLoad) > staleReportAge
+	}
+	return now.Sub(agent.lastReport) > staleReportAge
+}
+
 // noteOpened records that a new flow goes to an agent. The second one within a lease
 // makes the agent add this balancer to its subscribers.
 func (m *Model) noteOpened(now time.Time, agent *member) {
@@ -103,7 +112,7 @@
 			return
 		}
 		near := agent.Domain == m.config.Domain
-		if now.Sub(m.reportedAt(agent)) > staleReportAge && (near || crowded) && m.mayRequestReport(now, agent) {
+		if m.lacksReport(now, agent) && (near || crowded) && m.mayRequestReport(now, agent) {
 			requested++
 			m.requestReport(now, agent)
 		}
