--- a/holder/outcome.go
+++ b/holder/outcome.go
@@ -234,7 +234,7 @@
 		Event: event,
 		Count: m.outcomes.monitor.Estimate().Percent(),
 	})
-	m.sendReport(m.subscribers.Recipients(now))
+	m.sendReports(now, m.subscribers.Recipients(now))
 }
 
 // learnServiceCosts takes over the service-wide costs that a balancer sent, for the cost table and
