--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -60,6 +60,10 @@
 	// misrouted holds the times of recent packets that reached another backend server.
 	misrouted []time.Time
 	ended     bool
+	// request has the progress of the current request in load-aware seeds.
+	request request
+	// burst is the burst that the flow belongs to, if any.
+	burst *loadBurst
 	// path lists where the flow's packets arrived, for reports of violations.
 	path []string
 }
@@ -149,6 +153,7 @@
 		}
 	case s.Has(segment.Fin):
 		f.ended = true
+	case s.Length > 0 && c.region.loadAware && !f.answered(s):
 	case s.Length > 0:
 		f.waiting = false
 		f.retransmitAfter = retransmitMin
@@ -190,7 +195,7 @@
 		Length:   length,
 	}
 	if flags != segment.Syn {
-		s.Sequence = f.initialSequence + 1
+		s.Sequence = f.initialSequence + 1 + f.request.offset
 	}
 	host := int(f.tuple.CallerPort) % callerHosts
 	_, _ = c.conns[host].WriteToUDPAddrPort(usersbackend.Encode(s, false), to)
@@ -202,7 +207,9 @@
 		f.requests++
 		f.paused = time.Since(f.lastSent)
 		f.pause = c.nextPause()
+		f.newRequest()
 	}
+	f.request.sentAt = append(f.request.sentAt, time.Now())
 	c.send(f, segment.Ack, requestSize)
 }
 
@@ -227,8 +234,13 @@
 		active++
 		c.advance(f, now)
 	}
-	for ; active < flowsPerAgent**agentCount && !c.settling; active++ {
-		c.open(c.rand.IntN(2), 443, c.lifetime())
+	perAgent := flowsPerAgent
+	if c.region.loadAware {
+		perAgent = loadFlowsPerAgent
+	}
+	ports := c.region.callerPorts()
+	for ; active < perAgent**agentCount && !c.settling; active++ {
+		c.open(c.rand.IntN(2), ports[active%len(ports)], c.lifetime())
 	}
 }
 
--- a/soak/chaos_operator_test.go
+++ b/soak/chaos_operator_test.go
@@ -1,6 +1,9 @@
 package soak
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 func (c *chaos) takeDomainOut() {
 	domain, d := domainOf(c.rand.IntN(domainCount)), c.between(time.Second, 10*time.Second)
@@ -39,7 +42,8 @@
 		}
 		defer c.release(c.busyProcesses, -2)
 		c.verifier.recordEvent("route %d is added for %s", extraPort, d)
-		c.region.changeConfig(func() { c.region.routePorts = []int{443, extraPort} })
+		ports := c.region.routePorts
+		c.region.changeConfig(func() { c.region.routePorts = append(slices.Clone(ports), extraPort) })
 		c.verifier.mu.Lock()
 		delete(c.verifier.routeRemoved, extraPort)
 		c.verifier.routeAdded[extraPort] = time.Now()
@@ -48,7 +52,7 @@
 		c.verifier.mu.Lock()
 		delete(c.verifier.routeAdded, extraPort)
 		c.verifier.mu.Unlock()
-		c.region.changeConfig(func() { c.region.routePorts = []int{443} })
+		c.region.changeConfig(func() { c.region.routePorts = ports })
 		c.verifier.mu.Lock()
 		c.verifier.routeRemoved[extraPort] = time.Now()
 		c.verifier.mu.Unlock()
--- a/soak/chaos_series_test.go
+++ b/soak/chaos_series_test.go
@@ -47,7 +47,7 @@
 		}
 		c.verifier.recordEvent("stop %s in turn", nameOf(n))
 		c.verifier.markRestarting(time.Now().Add(stopTimeout), n)
-		c.region.processes[n].stop()
+		c.stopChecked(n)
 		time.Sleep(seriesDowntime)
 		c.restart(n)
 		c.verifier.markRestarting(time.Now(), n)
--- a/soak/chaos_server_test.go
+++ b/soak/chaos_server_test.go
@@ -13,7 +13,7 @@
 	defer c.verifier.mu.Unlock()
 	c.verifier.lastBurst = time.Now()
 	for i := range burstFlows {
-		c.callers.open(i%2, 443, 300*time.Millisecond)
+		c.callers.open(i%2, c.region.callerPorts()[i/2%len(c.region.callerPorts())], 300*time.Millisecond)
 	}
 }
 
--- a/soak/chaos_test.go
+++ b/soak/chaos_test.go
@@ -48,6 +48,13 @@
 // actions returns the actions to choose from. Each makes its random choices before it
 // starts, so that a seed always gives the same actions in the same order.
 func (c *chaos) actions() []func() {
+	if !c.region.loadAware {
+		return c.generalActions()
+	}
+	return append(c.generalActions(), c.loadActions()...)
+}
+
+func (c *chaos) generalActions() []func() {
 	if c.inSeries {
 		return []func(){
 			c.reloadSettings, c.takeDomainOut, c.addAndRemoveRoute, c.crashServer, c.lowerIdleTimeout, c.storeRemovesLate, c.oddEntry, c.foreignHeartbeat, c.foreignHeartbeat,
@@ -147,7 +154,7 @@
 	n, d := c.instance(), c.between(50*time.Millisecond, 500*time.Millisecond)
 	c.runExclusive(c.busyProcesses, n, func() {
 		c.verifier.recordEvent("stop %s", nameOf(n))
-		c.region.processes[n].stop()
+		c.stopChecked(n)
 		time.Sleep(d)
 		c.restart(n)
 		c.verifier.recordEvent("started %s", nameOf(n))
--- /dev/null
+++ b/soak/load_test.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/outlier"
+	"github.com/lentilshed/lentilshed/segment"
+	"github.com/lentilshed/lentilshed/standin/usersbackend"
+)
+
+// Routes and backend servers of load-aware seeds.
+const (
+	urgentPort     = 443
+	lessUrgentPort = 444
+	// loadSlots and loadDuration are those of each backend server.
+	loadSlots    = 2
+	loadDuration = 40 * time.Millisecond
+	// loadFlowsPerAgent replaces flowsPerAgent: requests take longer than in other seeds.
+	loadFlowsPerAgent = 4
+
+	urgentObjective     = 400 * time.Millisecond
+	lessUrgentObjective = time.Second
+	urgentTimeout       = openTimeout
+	lessUrgentTimeout   = 2 * time.Second
+)
+
+// isLoadAware reports whether a seed runs with the contract "health". The rule leaves the
+// earlier seeds in testdata/regressions as they were.
+func isLoadAware(seed uint64) bool { return seed%5 == 1 || seed%5 == 4 }
+
+// callerPorts returns the ports on which flows are opened, the most urgent first.
+func (r *region) callerPorts() []int {
+	if r.loadAware {
+		return []int{urgentPort, lessUrgentPort}
+	}
+	return []int{urgentPort}
+}
+
+// class returns the further fields of a route.
+func (r *region) class(port int) map[string]any {
+	switch {
+	case r.loadAware && port == urgentPort:
+		return map[string]any{
+			"priority":     1,
+			"objective_ms": urgentObjective.Milliseconds(),
+			"timeout_ms":   urgentTimeout.Milliseconds(),
+		}
+	case r.loadAware && port == lessUrgentPort:
+		return map[string]any{
+			"priority":     2,
+			"objective_ms": lessUrgentObjective.Milliseconds(),
+			"timeout_ms":   lessUrgentTimeout.Milliseconds(),
+		}
+	}
+	return nil
+}
+
+// request is the progress of the current request of a flow.
+type request struct {
+	// offset is the number of bytes that the caller sent before it.
+	offset uint32
+	// sentAt is when the caller sent it and repeated it.
+	sentAt []time.Time
+	// arrivals is how often it reached its backend server, the first time at arrivedAt.
+	arrivals  int
+	arrivedAt time.Time
+}
+
+// newRequest counts a request that the caller is about to send for the first time.
+func (f *callerFlow) newRequest() {
+	f.request = request{
+		offset: f.request.offset,
+	}
+	if f.burst != nil {
+		f.pause = f.burst.next(f)
+	}
+}
+
+// answered handles a response and reports whether it is the one to the current request.
+func (f *callerFlow) answered(s segment.Segment) bool {
+	next := f.request.offset + requestSize
+	if !f.waiting || s.Ack != f.initialSequence+1+next {
+		return false
+	}
+	f.ack = s.Sequence + uint32(s.Length)
+	if f.burst != nil && !usersbackend.ErrorResponse(s) {
+		f.burst.answered(f)
+	}
+	f.request.offset = next
+	return true
+}
+
+// transitTime is longer than a packet is under way where there are no faults.
+const transitTime = 100 * time.Millisecond
+
+// checkOrder checks that the bytes of a flow reach its backend server in order, and once unless
+// the caller repeats them after that. The agent must not pass on the repetitions of a request
+// that it holds.
+func (v *verifier) checkOrder(b *backend, f *callerFlow, a usersbackend.Arrival) {
+	if !v.undisturbed(b.instance, f.balancer) {
+		return
+	}
+	q := &f.request
+	offset := a.Packet.Sequence - f.initialSequence - 1
+	if offset != q.offset {
+		if q.arrivals > 0 {
+			v.addViolationLocked("bytes from %d of the flow %s reached the backend server of %s after those from %d", offset, f.tuple, nameOf(b.instance), q.offset)
+		}
+		return
+	}
+	q.arrivals++
+	if q.arrivals == 1 {
+		q.arrivedAt = a.At
+	}
+	allowed := 1
+	for i, at := range q.sentAt {
+		if i > 0 && at.After(q.arrivedAt.Add(-transitTime)) {
+			allowed++
+		}
+	}
+	if q.arrivals > allowed {
+		v.addViolationLocked("a request of the flow %s reached the backend server of %s %d times, first at %s; sent at %v", f.tuple, nameOf(b.instance), q.arrivals, q.arrivedAt.Format("05.000"), q.sentAt)
+	}
+}
+
+// reportInterval is the age that a report of an agent may have.
+const reportInterval = 500 * time.Millisecond
+
+// failing reports whether a backend server may be ejected: it fails requests, or did within the
+// time in which it must return.
+func (b *backend) failing() bool { return time.Since(b.failedUntil) < outlier.ReturnTimeout }
+
+// checkFree checks that a flow was not refused while a backend server was free. It must have been
+// free for longer than a report is old, as the balancer cannot know it sooner.
+func (v *verifier) checkFree(f *callerFlow, b *backend) {
+	if !v.region.loadAware || !v.undisturbed(f.balancer) || time.Since(b.startedAt) < startupTime {
+		return
+	}
+	if d := b.FreeFor(); d > reportInterval+transitTime {
+		v.addViolationLocked("the flow %s was refused, and the backend server of %s had had a free slot for %s", f.tuple, nameOf(b.instance), d)
+	}
+}
+
+// steady reports whether a process has run for some time and is not stopping. The verifier's lock
+// must be held.
+func (v *verifier) steady(n int) bool {
+	p := v.region.processes[n]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.endExpected && time.Since(p.startedAt) >= startupTime && v.undisturbed(n)
+}
+
+// stopChecked stops a process. Each request that its agent had when the stop began must have been
+// answered by the end of the process.
+func (c *chaos) stopChecked(n int) {
+	v := c.verifier
+	before := map[*callerFlow]uint32{}
+	v.mu.Lock()
+	if v.region.loadAware && n >= firstAgent && v.steady(n) {
+		for _, f := range v.flows {
+			q := f.request
+			s := f.server
+			sent := f.waiting && len(q.sentAt) > 0 && time.Since(q.sentAt[len(q.sentAt)-1]) > transitTime
+			if sent && !f.ended && s != nil && s.instance == n && s.running && !s.failing() && s.Holds(f.tuple) && v.steady(f.balancer) {
+				before[f] = q.offset
+			}
+		}
+	}
+	v.mu.Unlock()
+	c.region.processes[n].stop()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for f, offset := range before {
+		if f.request.offset == offset && f.server.running && f.server.Holds(f.tuple) && v.undisturbed(n, f.balancer) {
+			v.addViolationLocked("%s stopped before the request of %s was answered, sent at %v, arrivals %d: %v", nameOf(n), f.tuple, f.request.sentAt, f.request.arrivals, f.path)
+		}
+	}
+	if len(before) > 0 {
+		v.recordEventLocked("%s had %d requests when it stopped", nameOf(n), len(before))
+	}
+}
--- a/soak/region_test.go
+++ b/soak/region_test.go
@@ -23,6 +23,9 @@
 	layouts = "layouts"
 )
 
+// serviceNames are in the order of the addresses, from firstServiceAddress.
+var serviceNames = []string{boards, layouts}
+
 // services maps the number of each agent's instance to the service of its backend server.
 // TestMain fills it.
 var services = map[int]string{}
@@ -55,6 +58,8 @@
 	routePorts    []int
 	idleTimeout   time.Duration
 	cancel        context.CancelFunc
+	// loadAware is set for the seeds that run with the contract "health".
+	loadAware bool
 }
 
 // backend is one incarnation of a backend server.
@@ -63,6 +68,9 @@
 	instance int
 	service  string
 	running  bool
+	// startedAt is when the server was started, and failedUntil when it last failed requests;
+	// the latter is in the future while it does.
+	startedAt, failedUntil time.Time
 	// drainedAt is when its drain was acknowledged; zero before.
 	drainedAt time.Time
 	// coldUntil is when the server stops being cold.
@@ -83,6 +91,10 @@
 		routePorts:   []int{443},
 		idleTimeout:  maxIdleTimeout,
 		cancel:       cancel,
+		loadAware:    isLoadAware(seed),
+	}
+	if r.loadAware {
+		r.routePorts = []int{urgentPort, lessUrgentPort}
 	}
 	r.verifier = newVerifier(r)
 	r.declareConfig()
@@ -120,6 +132,9 @@
 
 func (r *region) startProcess(t *testing.T, n int, dir, binary, text string) {
 	t.Helper()
+	if r.loadAware {
+		text = strings.Replace(text, "[passing]\n", "[passing]\ncontracts = [\"health\"]\n", 1)
+	}
 	p, err := newProcess(dir, binary, nameOf(n), text, r.verifier.addViolation)
 	must(t, err)
 	must(t, p.start())
@@ -215,7 +230,7 @@
 		Version:     r.configVersion,
 		IdleTimeout: r.idleTimeout,
 	}
-	for i, s := range []string{boards, layouts} {
+	for i, s := range serviceNames {
 		d.Services = append(d.Services, usersstore.Service{
 			Name:     s,
 			ColdRate: coldRate,
@@ -225,6 +240,7 @@
 				Host:    fmt.Sprintf("198.18.0.%d", i+1),
 				Port:    p,
 				Service: s,
+				Class:   r.class(p),
 			})
 		}
 	}
@@ -238,9 +254,10 @@
 		instance:  n,
 		service:   services[n],
 		running:   true,
+		startedAt: time.Now(),
 		coldUntil: time.Now().Add(cold),
 	}
-	s, err := usersbackend.New(usersbackend.Config{
+	config := usersbackend.Config{
 		Service:         services[n],
 		Address:         r.proxy.ownAddress(n, backendPort),
 		Outbound:        r.proxy.ownAddress(n, outboundPort),
@@ -248,7 +265,12 @@
 		RequestDuration: 20 * time.Millisecond,
 		Warmup:          cold,
 		Observe:         func(a usersbackend.Arrival) { r.verifier.checkArrival(b, a) },
-	})
+	}
+	if r.loadAware {
+		config.Slots = loadSlots
+		config.RequestDuration = loadDuration
+	}
+	s, err := usersbackend.New(config)
 	if err != nil {
 		return err
 	}
--- a/soak/verifier_test.go
+++ b/soak/verifier_test.go
@@ -59,6 +59,8 @@
 	violations      []string
 	resets, answers int
 	history         []string
+	// bursts has the results of the bursts that were checked.
+	bursts []string
 }
 
 func newVerifier(r *region) *verifier {
@@ -67,7 +69,7 @@
 		flows:          map[flow.Tuple]*callerFlow{},
 		disturbedUntil: map[int]time.Time{},
 		outSince:       map[string]time.Time{},
-		routeAdded:     map[int]time.Time{443: time.Now()},
+		routeAdded:     map[int]time.Time{urgentPort: time.Now(), lessUrgentPort: time.Now()},
 		routeRemoved:   map[int]time.Time{},
 		lowIdleTimeout: maxIdleTimeout,
 		restartedAt:    map[int]time.Time{},
@@ -78,6 +80,11 @@
 func (v *verifier) recordEvent(format string, a ...any) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.recordEventLocked(format, a...)
+}
+
+// recordEventLocked is recordEvent for use with the lock held.
+func (v *verifier) recordEventLocked(format string, a ...any) {
 	v.history = append(v.history, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, a...))
 }
 
@@ -147,6 +154,9 @@
 		v.addViolationLocked("a packet of flow %s for service %s reached the backend server of %s, which serves %s", f.tuple, f.service(), nameOf(b.instance), b.service)
 	}
 	f.path = append(f.path, fmt.Sprintf("%s flags %b at %s, flow open there: %v", a.At.Format("05.000"), a.Packet.Flags, nameOf(b.instance), a.Held))
+	if a.Held && a.Packet.Length > 0 && v.region.loadAware {
+		v.checkOrder(b, f, a)
+	}
 	switch {
 	case a.Accepted:
 		v.checkOpening(b, f, a)
@@ -250,8 +260,9 @@
 		b := v.region.server(n)
 		_, out := v.outSince[domainOf(n)]
 		restarting := time.Since(v.restartedAt[n]) < heartbeatInterval
-		if s == f.service() && b.running && !restarting && time.Now().After(b.coldUntil) && b.drainedAt.IsZero() && !out && v.undisturbed(n) {
+		if s == f.service() && b.running && !restarting && time.Now().After(b.coldUntil) && b.drainedAt.IsZero() && !out && v.undisturbed(n) && !b.failing() {
 			open++
+			v.checkFree(f, b)
 		}
 	}
 	busy := time.Since(v.lastBurst) < stableTime
--- a/standin/usersbackend/server.go
+++ b/standin/usersbackend/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -48,6 +49,9 @@
 	HeartbeatURL string
 	// RequestDuration is the time that a request takes.
 	RequestDuration time.Duration
+	// Slots is the number of requests that are processed at a time. Zero processes all at
+	// once, and heartbeats then have the usual number of slots.
+	Slots int
 	// Warmup is the time after its start for which the server reports that it is cold.
 	Warmup time.Duration
 	// Observe is called for each packet that arrives, if it is not nil.
@@ -86,6 +90,7 @@
 	// open the established ones. The values are the server's initial sequence numbers.
 	halfOpen map[flow.Tuple]uint32
 	open     map[flow.Tuple]uint32
+	work     work
 	done     chan struct{}
 }
 
@@ -111,7 +116,11 @@
 		incarnation: time.Now().UnixMilli(),
 		halfOpen:    map[flow.Tuple]uint32{},
 		open:        map[flow.Tuple]uint32{},
-		done:        make(chan struct{}),
+		work: work{
+			exchanges: map[flow.Tuple]*exchange{},
+			freeSince: time.Now(),
+		},
+		done: make(chan struct{}),
 	}
 	go func() { _ = s.http.Serve(l) }()
 	go s.serve()
@@ -205,7 +214,7 @@
 	return map[string]any{
 		"service":         s.config.Service,
 		"address":         s.config.Address.String(),
-		"max_concurrency": slots,
+		"max_concurrency": cmp.Or(s.config.Slots, slots),
 		"state":           state,
 		"warmup_left_ms":  max(0, (s.config.Warmup - time.Since(time.UnixMilli(s.incarnation))).Milliseconds()),
 		"seq_no":          s.sequence,
@@ -294,6 +303,8 @@
 			Flags:    segment.Fin | segment.Ack,
 			Sequence: initial + 1,
 		}, true))
+	case a.Held && p.Length > 0 && s.config.Slots > 0:
+		s.request(p, initial)
 	case a.Held && p.Length > 0:
 		reply := Encode(segment.Segment{
 			Tuple:    p.Tuple,
@@ -332,6 +343,7 @@
 	}
 	if a.Held && p.Flags&(segment.Fin|segment.Rst) != 0 {
 		delete(s.open, p.Tuple)
+		delete(s.work.exchanges, p.Tuple)
 	}
 	return initial, a
 }
--- a/standin/usersstore/operator.go
+++ b/standin/usersstore/operator.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	Host    string
 	Port    int
 	Service string
+	// Class has further fields of the route, such as its priority.
+	Class map[string]any
 }
 
 // Service is a declared service. ColdRate is the number of new flows per second that
@@ -33,12 +36,14 @@
 func (s *Server) Declare(d Declaration) {
 	routes := []map[string]any{}
 	for _, r := range d.Routes {
-		routes = append(routes, map[string]any{
+		route := map[string]any{
 			"name":        fmt.Sprintf("%s-%d", r.Service, r.Port),
 			"host":        r.Host,
 			"path_prefix": fmt.Sprintf("/%d/", r.Port),
 			"service":     r.Service,
-		})
+		}
+		maps.Copy(route, r.Class)
+		routes = append(routes, route)
 	}
 	services := []map[string]any{}
 	for _, x := range d.Services {
