--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -211,6 +211,9 @@
 	}
 	f.request.sentAt = append(f.request.sentAt, time.Now())
 	c.send(f, segment.Ack, requestSize)
+	if len(f.request.sentAt) == 1 {
+		f.request.balancer = f.balancer
+	}
 }
 
 // nextPause returns the time from one request of a flow to the next. In series, half of the
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -61,6 +61,8 @@
 	offset uint32
 	// sentAt is when the caller sent it and repeated it.
 	sentAt []time.Time
+	// balancer is the number of the balancer to which it was sent first.
+	balancer int
 	// arrivals is how often it reached its backend server, the first time at arrivedAt.
 	arrivals  int
 	arrivedAt time.Time
@@ -162,8 +164,8 @@
 		for _, f := range v.flows {
 			q := f.request
 			s := f.server
-			sent := f.waiting && len(q.sentAt) > 0 && time.Since(q.sentAt[len(q.sentAt)-1]) > transitTime
-			if sent && !f.ended && s != nil && s.instance == n && s.running && !s.failing() && s.Holds(f.tuple) && v.steady(f.balancer) {
+			sent := f.waiting && len(q.sentAt) > 0 && time.Since(q.sentAt[0]) > transitTime
+			if sent && !f.ended && s != nil && s.instance == n && s.running && !s.failing() && s.Holds(f.tuple) && v.steady(q.balancer) {
 				before[f] = q.offset
 			}
 		}
@@ -173,11 +175,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for f, offset := range before {
-		if f.request.offset == offset && f.server.running && f.server.Holds(f.tuple) && v.undisturbed(n, f.balancer) {
+		if f.request.offset == offset && f.server.running && f.server.Holds(f.tuple) && v.undisturbed(n, f.request.balancer) {
 			v.addViolationLocked("%s stopped before the request of %s was answered, sent at %v, arrivals %d: %v", nameOf(n), f.tuple, f.request.sentAt, f.request.arrivals, f.path)
 		}
 	}
 	if len(before) > 0 {
 		v.recordEventLocked("%s had %d requests when it stopped", nameOf(n), len(before))
+		v.pendingAtStops = append(v.pendingAtStops, len(before))
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -204,7 +204,7 @@
 	v := r.verifier
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	t.Logf("seed %d: %d flows, %d answers, %d resets, %d events, load-aware %v, bursts %v", seed, len(v.flows), v.answers, v.resets, len(v.history), r.loadAware, v.bursts)
+	t.Logf("seed %d: %d flows, %d answers, %d resets, %d events, load-aware %v, bursts %v, requests at stops %v", seed, len(v.flows), v.answers, v.resets, len(v.history), r.loadAware, v.bursts, v.pendingAtStops)
 	require.Positive(t, v.answers)
 	if len(v.violations) == 0 {
 		return
--- a/soak/verifier_test.go
+++ b/soak/verifier_test.go
@@ -59,8 +59,10 @@
 	violations      []string
 	resets, answers int
 	history         []string
-	// bursts has the results of the bursts that were checked.
-	bursts []string
+	// bursts has the results of the bursts that were checked, and pendingAtStops the numbers
+	// of requests that agents had when they were stopped as planned.
+	bursts         []string
+	pendingAtStops []int
 }
 
 func newVerifier(r *region) *verifier {
