--- a/standin/usersbackend/work.go
+++ b/standin/usersbackend/work.go
@@ -20,9 +20,9 @@
 // Failure is how a server with limited slots fails a request.
 type Failure uint8
 
+// The failures: FailShort sends a short error at once, FailReset resets the flow, and FailSilent
+// sends nothing.
 const (
-	// FailShort sends a short error at once, FailReset resets the flow, and FailSilent
-	// sends nothing.
 	FailShort Failure = iota + 1
 	FailReset
 	FailSilent
