--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/outlier"
+	"github.com/lentilshed/lentilshed/relay"
 	"github.com/lentilshed/lentilshed/segment"
 	"github.com/lentilshed/lentilshed/standin/usersbackend"
 )
@@ -63,9 +64,13 @@
 	sentAt []time.Time
 	// balancer is the number of the balancer to which it was sent first.
 	balancer int
+	// atAgents is when it reached agents, and olderAtAgents when earlier ones did after it.
+	atAgents, olderAtAgents []delivery
 	// arrivals is how often it reached its backend server, the first time at arrivedAt.
 	arrivals  int
 	arrivedAt time.Time
+	// olderArrivals is how often an earlier request reached its backend server after it.
+	olderArrivals int
 }
 
 // newRequest counts a request that the caller is about to send for the first time.
@@ -97,9 +102,52 @@
 // transitTime is longer than a packet is under way where there are no faults.
 const transitTime = 100 * time.Millisecond
 
-// checkOrder checks that the bytes of a flow reach its backend server in order, and once unless
-// the caller repeats them after that. The agent must not pass on the repetitions of a request
-// that it holds.
+// delivery is a packet that reached an agent.
+type delivery struct {
+	agent int
+	at    time.Time
+}
+
+// noteDelivery records a datagram to an agent that has a packet of a request. The packet is at
+// its end.
+func (v *verifier) noteDelivery(n int, b []byte) {
+	if n < firstAgent || len(b) < usersbackend.HeaderSize || relay.Kind(b[0]) != relay.KindDeliverClass {
+		return
+	}
+	s := usersbackend.DecodeFromCaller(b[len(b)-usersbackend.HeaderSize:])
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f := v.flows[s.Tuple]
+	if f == nil || s.Length == 0 {
+		return
+	}
+	d := delivery{
+		agent: n,
+		at:    time.Now(),
+	}
+	switch q := &f.request; {
+	case s.Sequence-f.initialSequence-1 == q.offset:
+		q.atAgents = append(q.atAgents, d)
+	case len(q.atAgents) > 0:
+		q.olderAtAgents = append(q.olderAtAgents, d)
+	}
+}
+
+// count returns the number of packets that reached an agent after some time.
+func count(l []delivery, agent int, after time.Time) int {
+	n := 0
+	for _, d := range l {
+		if d.agent == agent && d.at.After(after) {
+			n++
+		}
+	}
+	return n
+}
+
+// checkOrder checks that the bytes of a flow reach its backend server in the order in which they
+// reach the agent, and once unless they reach the agent again after that. The agent must not pass
+// on the repetitions of a request that it holds. Balancers may: they keep the packets of a flow
+// while they look it up.
 func (v *verifier) checkOrder(b *backend, f *callerFlow, a usersbackend.Arrival) {
 	if !v.undisturbed(b.instance, f.balancer) {
 		return
@@ -108,6 +156,9 @@
 	offset := a.Packet.Sequence - f.initialSequence - 1
 	if offset != q.offset {
 		if q.arrivals > 0 {
+			q.olderArrivals++
+		}
+		if q.olderArrivals > count(q.olderAtAgents, b.instance, time.Time{}) {
 			v.addViolationLocked("bytes from %d of the flow %s reached the backend server of %s after those from %d, sent at %v: %v", offset, f.tuple, nameOf(b.instance), q.offset, q.sentAt, f.path[max(0, len(f.path)-12):])
 		}
 		return
@@ -116,14 +167,13 @@
 	if q.arrivals == 1 {
 		q.arrivedAt = a.At
 	}
-	allowed := 1
-	for i, at := range q.sentAt {
-		if i > 0 && at.After(q.arrivedAt.Add(-transitTime)) {
-			allowed++
-		}
+	allowed := count(q.atAgents, b.instance, q.arrivedAt.Add(-transitTime))
+	if count(q.atAgents, b.instance, time.Time{}) > allowed {
+		// Those that came before were held, and count once.
+		allowed++
 	}
 	if q.arrivals > allowed {
-		v.addViolationLocked("a request of the flow %s reached the backend server of %s %d times, first at %s; sent at %v", f.tuple, nameOf(b.instance), q.arrivals, q.arrivedAt.Format("05.000"), q.sentAt)
+		v.addViolationLocked("a request of the flow %s reached the backend server of %s %d times, first at %s; sent at %v, at agents %v", f.tuple, nameOf(b.instance), q.arrivals, q.arrivedAt.Format("05.000"), q.sentAt, q.atAgents)
 	}
 }
 
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -32,6 +32,8 @@
 	// network is the second octet of the loopback network 127.N.0.0/16.
 	network byte
 	closed  bool
+	// observe is called for each datagram that is delivered to an instance, if it is not nil.
+	observe func(n int, b []byte)
 }
 
 func newProxy(network byte, seed uint64) *proxy {
@@ -116,6 +118,9 @@
 		p.mu.Lock()
 		s := p.sockets[p.frontAddress(instanceOf(from), int(from.Port()))]
 		p.mu.Unlock()
+		if p.observe != nil {
+			p.observe(instanceOf(to), b)
+		}
 		if s != nil {
 			_, _ = s.WriteToUDPAddrPort(b, to)
 		}
--- a/soak/region_test.go
+++ b/soak/region_test.go
@@ -97,6 +97,9 @@
 		r.routePorts = []int{urgentPort, lessUrgentPort}
 	}
 	r.verifier = newVerifier(r)
+	if r.loadAware {
+		r.proxy.observe = r.verifier.noteDelivery
+	}
 	r.declareConfig()
 	must(t, r.openProxy(ctx))
 	var balancers []router.Balancer
--- a/standin/usersbackend/packet.go
+++ b/standin/usersbackend/packet.go
@@ -19,7 +19,7 @@
 // flow if fromServer is set, else by its caller. It has the length of the data but
 // not the data, and no checksum if the packet is a reset.
 func Encode(p segment.Segment, fromServer bool) []byte {
-	b := make([]byte, headerSize)
+	b := make([]byte, HeaderSize)
 	for f, bit := range flagBits {
 		if p.Has(f) {
 			b[0] |= bit
@@ -47,18 +47,18 @@
 // Intact reports whether a packet arrived as its sender encoded it. A reset that the
 // load balancer itself creates has no checksum.
 func Intact(b []byte) bool {
-	if len(b) < headerSize {
+	if len(b) < HeaderSize {
 		return false
 	}
 	got := binary.LittleEndian.Uint32(b[checksumOffset:])
-	return got == checksum(b) || (got == 0 && b[0] == flagBits[segment.Rst] && len(b) == headerSize)
+	return got == checksum(b) || (got == 0 && b[0] == flagBits[segment.Rst] && len(b) == HeaderSize)
 }
 
 // checksum covers all header fields except the checksum and those that the load
 // balancer or a returning backend server may write, and is never 0.
 func checksum(b []byte) uint32 {
 	h := uint64(checksumKey)
-	for i, x := range b[:headerSize] {
+	for i, x := range b[:HeaderSize] {
 		switch {
 		case i >= 1 && i < 6, i >= checksumOffset && i < checksumOffset+4:
 			continue
@@ -73,7 +73,7 @@
 // Decode decodes the header of a packet that a backend server sent to a caller. It
 // panics if b is shorter than the header, 32 bytes.
 func Decode(b []byte) segment.Segment {
-	p := decode(b)
+	p := DecodeFromCaller(b)
 	t := p.Tuple
 	p.Tuple = flow.Tuple{
 		Caller:      t.Address,
@@ -84,8 +84,9 @@
 	return p
 }
 
-// decode decodes the header of a packet that a caller sent.
-func decode(b []byte) segment.Segment {
+// DecodeFromCaller decodes the header of a packet that a caller sent. It panics if b is shorter
+// than the header.
+func DecodeFromCaller(b []byte) segment.Segment {
 	p := segment.Segment{
 		Tuple: flow.Tuple{
 			Caller:      binary.LittleEndian.Uint32(b[14:]),
--- a/standin/usersbackend/server.go
+++ b/standin/usersbackend/server.go
@@ -19,8 +19,10 @@
 	"github.com/lentilshed/lentilshed/segment"
 )
 
+// HeaderSize is the size of a packet, which has no data.
+const HeaderSize = 32
+
 const (
-	headerSize     = 32
 	checksumOffset = 26
 	returnedBit    = 8
 	// checksumKey is the initial value of the checksum over the fields that must not
@@ -274,7 +276,7 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err == nil && n >= headerSize {
+		if err == nil && n >= HeaderSize {
 			s.handle(b[:n])
 		}
 	}
@@ -283,7 +285,7 @@
 // handle accepts first packets, answers data and the end of a flow, and returns
 // packets of flows that the server does not hold.
 func (s *Server) handle(b []byte) {
-	p := decode(b)
+	p := DecodeFromCaller(b)
 	initial, a := s.track(p)
 	a.Intact = binary.LittleEndian.Uint32(b[checksumOffset:]) == checksum(b)
 	if s.config.Observe != nil {
