--- a/soak/chaos_test.go
+++ b/soak/chaos_test.go
@@ -80,6 +80,11 @@
 // run starts actions until the time has passed, then waits for them to end.
 func (c *chaos) run(d time.Duration) {
 	l := c.actions()
+	if c.region.loadAware && !c.inSeries {
+		// Among the other actions, a burst is seldom undisturbed for long enough to be checked.
+		c.burstAboveSlots()
+		c.wait.Wait()
+	}
 	end := time.Now().Add(d)
 	if c.inSeries {
 		c.restartInSeries(end)
