--- a/soak/chaos_test.go
+++ b/soak/chaos_test.go
@@ -48,6 +48,13 @@
 // actions returns the actions to choose from. Each makes its random choices before it
 // starts, so that a seed always gives the same actions in the same order.
 func (c *chaos) actions() []func() {
+	if !c.region.loadAware {
+		return c.generalActions()
+	}
+	return append(c.generalActions(), c.loadActions()...)
+}
+
+func (c *chaos) generalActions() []func() {
 	if c.inSeries {
 		return []func(){
 			c.reloadSettings, c.takeDomainOut, c.addAndRemoveRoute, c.crashServer, c.lowerIdleTimeout, c.storeRemovesLate, c.oddEntry, c.foreignHeartbeat, c.foreignHeartbeat,
@@ -73,6 +80,11 @@
 // run starts actions until the time has passed, then waits for them to end.
 func (c *chaos) run(d time.Duration) {
 	l := c.actions()
+	if c.region.loadAware && !c.inSeries {
+		// Among the other actions, a burst is seldom undisturbed for long enough to be checked.
+		c.burstAboveSlots()
+		c.wait.Wait()
+	}
 	end := time.Now().Add(d)
 	if c.inSeries {
 		c.restartInSeries(end)
@@ -147,7 +159,7 @@
 	n, d := c.instance(), c.between(50*time.Millisecond, 500*time.Millisecond)
 	c.runExclusive(c.busyProcesses, n, func() {
 		c.verifier.recordEvent("stop %s", nameOf(n))
-		c.region.processes[n].stop()
+		c.stopChecked(n)
 		time.Sleep(d)
 		c.restart(n)
 		c.verifier.recordEvent("started %s", nameOf(n))
