Compare sequence numbers with segment.Before and segment.After only

holder, queue and schedule had four spellings of the same comparison. The windowed comparison becomes segment.AfterWithin. No decision changes.

--- a/holder/model.go
+++ b/holder/model.go
@@ -438,7 +438,7 @@
 	case entryOpen, entryEnded:
 		return true
 	case entrySynAckSent:
-		return segment.After(ack, e.synAckSequence, ackWindow)
+		return segment.AfterWithin(ack, e.synAckSequence, ackWindow)
 	}
 	return false
 }
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -52,7 +52,7 @@
 	if s.Length == 0 {
 		return false
 	}
-	return !m.config.LoadAware || !e.hasSent || later(s.Sequence+uint32(s.Length), e.sentTo)
+	return !m.config.LoadAware || !e.hasSent || segment.After(s.Sequence+uint32(s.Length), e.sentTo)
 }
 
 // noteSent records how far the backend server has sent.
@@ -65,7 +65,7 @@
 	if s.Has(segment.Syn) {
 		end++
 	}
-	if !e.hasSent || later(end, e.sentTo) {
+	if !e.hasSent || segment.After(end, e.sentTo) {
 		e.sentTo = end
 		e.hasSent = true
 	}
--- a/holder/outcome_packet.go
+++ b/holder/outcome_packet.go
@@ -38,10 +38,10 @@
 	switch {
 	case !o.callerKnown || !s.Has(segment.Ack):
 		packet = packetUnknown
-	case !later(end, o.requestEnd), o.length > 0 && later(o.responseBegin+o.length, s.Ack):
+	case !segment.After(end, o.requestEnd), o.length > 0 && segment.After(o.responseBegin+o.length, s.Ack):
 		packet = packetRepeated
 	}
-	if !o.callerKnown || later(end, o.requestEnd) {
+	if !o.callerKnown || segment.After(end, o.requestEnd) {
 		o.callerKnown = true
 		o.requestEnd = end
 	}
@@ -62,7 +62,7 @@
 	if o.state == outcomeNone {
 		return
 	}
-	if end := s.Sequence + uint32(s.Length); s.Length > 0 && later(end, o.responseBegin+o.length) {
+	if end := s.Sequence + uint32(s.Length); s.Length > 0 && segment.After(end, o.responseBegin+o.length) {
 		o.length = end - o.responseBegin
 		m.responseGrew(now, e)
 	}
@@ -105,8 +105,3 @@
 		m.recordFailure(now, outlier.FailureReset)
 	}
 }
-
-// later reports whether sequence number a comes after b.
-func later(a, b uint32) bool {
-	return int32(a-b) > 0
-}
--- a/holder/schedule.go
+++ b/holder/schedule.go
@@ -220,7 +220,7 @@
 		return
 	}
 	end := s.Sequence + uint32(s.Length)
-	if !e.hasPassed || int32(end-e.passedTo) > 0 {
+	if !e.hasPassed || segment.After(end, e.passedTo) {
 		e.passedTo = end
 		e.hasPassed = true
 	}
@@ -231,7 +231,7 @@
 // slot although the backend server does not work on it.
 func (m *Model) repeatsAnswered(e *entry, s segment.Segment) bool {
 	return m.config.LoadAware && e.hasPassed && e.started && e.answered && s.Length > 0 &&
-		int32(s.Sequence+uint32(s.Length)-e.passedTo) <= 0
+		!segment.After(s.Sequence+uint32(s.Length), e.passedTo)
 }
 
 // workAhead returns the expected work of the waiting requests that goes before new ones, by
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -9,6 +9,7 @@
 
 	"github.com/lentilshed/lentilshed/cost"
 	"github.com/lentilshed/lentilshed/routing"
+	"github.com/lentilshed/lentilshed/segment"
 )
 
 // Limits bounds a queue. A limit of zero or less is the default.
@@ -122,13 +123,13 @@
 // Append adds a copy of a packet to a waiting request, in the order of sequence numbers.
 func (q *Queue) Append(r *Request, p Packet) Outcome {
 	after := r.last
-	if before(p.Segment.Sequence, r.last.end()) {
+	if segment.Before(p.Segment.Sequence, r.last.end()) {
 		after = nil
 		for n := r.first; n != nil; n = n.next {
 			if n.covers(p) {
 				return Absorbed
 			}
-			if !before(p.Segment.Sequence, n.Segment.Sequence) {
+			if !segment.Before(p.Segment.Sequence, n.Segment.Sequence) {
 				after = n
 			}
 		}
--- a/queue/request.go
+++ b/queue/request.go
@@ -85,12 +85,7 @@
 
 // covers reports whether the packet has all sequence numbers of another one.
 func (p Packet) covers(x Packet) bool {
-	return !before(x.Segment.Sequence, p.Segment.Sequence) && !before(p.end(), x.end())
-}
-
-// before reports whether sequence number a is before b, modulo 2^32.
-func before(a, b uint32) bool {
-	return int32(a-b) < 0
+	return !segment.Before(x.Segment.Sequence, p.Segment.Sequence) && !segment.Before(p.end(), x.end())
 }
 
 // node is a packet in the list of a request's packets.
--- a/segment/segment.go
+++ b/segment/segment.go
@@ -64,9 +64,19 @@
 	return s.Has(Syn | Ack)
 }
 
-// After reports whether sequence number a is at least one and at most limit bytes
+// Before reports whether sequence number a is before b, modulo 2^32.
+func Before(a, b uint32) bool {
+	return int32(a-b) < 0
+}
+
+// After reports whether sequence number a is after b, modulo 2^32.
+func After(a, b uint32) bool {
+	return int32(a-b) > 0
+}
+
+// AfterWithin reports whether sequence number a is at least one and at most limit bytes
 // after b, modulo 2^32.
-func After(a, b, limit uint32) bool {
+func AfterWithin(a, b, limit uint32) bool {
 	d := a - b
 	return d > 0 && d <= limit
 }
