Name holder's functions after what they change, and remove dead parameters

held and defers change the queue and the table of deferrals: they are hold and deferFlow now. slotFree ignored Config.Ahead in its name. outcomeResponseStarted was empty, failures ignored its argument, runningPlace was a position plus one, and runningRequest.startedAt was never read. Comments on waiting requests name Config.Ahead. No decision changes.

--- a/holder/admission.go
+++ b/holder/admission.go
@@ -47,9 +47,9 @@
 	maxDeferrals = 1024
 )
 
-// defers reports whether a new flow is deferred, and remembers it: one that would wait
-// behind another is, unless it comes back.
-func (m *Model) defers(now time.Time, t flow.Tuple) bool {
+// deferFlow defers a new flow that would wait behind another one, unless it was deferred
+// lately and has come back. It reports whether it did.
+func (m *Model) deferFlow(now time.Time, t flow.Tuple) bool {
 	a := &m.admission
 	slots := int(m.server.slots)
 	if slots == 0 || m.load.inFlight+a.handshakes <= slots {
@@ -89,12 +89,12 @@
 	m.admission.handshakes++
 }
 
-// requestArrived ends the wait for a flow's first request, also when it does not come.
-func (m *Model) requestArrived(e *entry) {
+// endExpectation ends the wait for a flow's first request: it has come, or will not come.
+func (m *Model) endExpectation(e *entry) {
 	if e.requestExpected {
 		e.requestExpected = false
 		m.admission.handshakes--
-		m.admission.arrived(e)
+		m.admission.removeExpected(e)
 	}
 }
 
@@ -110,7 +110,7 @@
 	}
 	for _, e := range m.flows {
 		if e.requestExpected && now.Sub(e.lastPacket) >= firstRequestTimeout {
-			m.requestArrived(e)
+			m.endExpectation(e)
 		}
 	}
 }
--- a/holder/class_admission.go
+++ b/holder/class_admission.go
@@ -35,7 +35,7 @@
 	t := packet.Segment.Tuple
 	l := a.load(now)
 	if m.server.slots == 0 || l.Running == 0 && len(l.Queued) == 0 && len(l.Routes) == 0 {
-		if m.defers(now, t) {
+		if m.deferFlow(now, t) {
 			return RejectBusy
 		}
 		return 0
@@ -97,8 +97,8 @@
 	return min(cost.DefaultMean, limits.Objective/2)
 }
 
-// admitted records the class of a flow that was admitted, and the work that it will bring.
-func (m *Model) admitted(now time.Time, e *entry, packet DeliverMsg) {
+// recordAdmission records the class of a flow that was admitted, and the work that it will bring.
+func (m *Model) recordAdmission(now time.Time, e *entry, packet DeliverMsg) {
 	if !m.config.LoadAware {
 		return
 	}
@@ -111,8 +111,8 @@
 	e.expectedLevel = uint8(placement.Level(e.class.Priority))
 }
 
-// arrived removes the expected request of a flow: it has come, or will not come.
-func (a *admission) arrived(e *entry) {
+// removeExpected removes the expected request of a flow: it has come, or will not come.
+func (a *admission) removeExpected(e *entry) {
 	if e.expectedWork == 0 {
 		return
 	}
--- a/holder/deliver.go
+++ b/holder/deliver.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/lentilshed/lentilshed/flow"
 	"github.com/lentilshed/lentilshed/segment"
 )
 
@@ -60,7 +59,7 @@
 	}
 	m.addFlow(now, packet.Segment.Tuple, e)
 	m.expectRequest(e)
-	m.admitted(now, e, packet)
+	m.recordAdmission(now, e, packet)
 	m.stats.Opened++
 	m.forward(now, e, packet)
 }
@@ -100,7 +99,7 @@
 		return RejectFull
 	case m.config.LoadAware:
 		return m.refusalByDelay(now, packet)
-	case m.defers(now, packet.Segment.Tuple):
+	case m.deferFlow(now, packet.Segment.Tuple):
 		return RejectBusy
 	}
 	return 0
@@ -153,9 +152,9 @@
 		e.lastAck = packet.Segment.Ack
 	}
 	if m.config.LoadAware && packet.Segment.Length > 0 {
-		m.requestArrived(e)
+		m.endExpectation(e)
 	}
-	if m.config.LoadAware && m.held(now, e, packet) {
+	if m.config.LoadAware && m.hold(now, e, packet) {
 		return
 	}
 	m.passOn(now, e, packet)
@@ -166,10 +165,10 @@
 	t := packet.Segment.Tuple
 	m.outcomeCallerPacket(e, packet.Segment)
 	if m.beginsRequest(e, packet.Segment) {
-		m.finishRequest(now, t, e, endResponse)
+		m.finishRequest(now, e, endResponse)
 		e.requestedAt = now
 		m.load.begin(now)
-		m.requestArrived(e)
+		m.endExpectation(e)
 		e.started = true
 		e.answered = false
 		m.requestStarted(now, t, e)
@@ -196,7 +195,7 @@
 
 // finishRequest ends the started request of a flow, if there is one. Once its response has
 // begun, its end is endResponse.
-func (m *Model) finishRequest(now time.Time, t flow.Tuple, e *entry, end requestEnd) {
+func (m *Model) finishRequest(now time.Time, e *entry, end requestEnd) {
 	if !e.started {
 		return
 	}
@@ -204,7 +203,7 @@
 	if e.answered {
 		end = endResponse
 	}
-	m.requestFinished(now, t, e, end)
+	m.requestFinished(now, e, end)
 }
 
 // unknownFlow handles a packet of a flow that is not in the table. While the table may
@@ -260,19 +259,19 @@
 		*fin = true
 	}
 	if s.Has(segment.Rst) || (e.callerFin && e.backendFin) {
-		m.finish(now, s.Tuple, e, end)
+		m.finish(now, e, end)
 	}
 }
 
 // finish marks a flow as ended and removes its request in flight or waiting.
-func (m *Model) finish(now time.Time, t flow.Tuple, e *entry, end requestEnd) {
+func (m *Model) finish(now time.Time, e *entry, end requestEnd) {
 	m.dropHeld(e)
-	m.finishRequest(now, t, e, end)
+	m.finishRequest(now, e, end)
 	if e.requestPending() {
 		e.requestedAt = time.Time{}
 		m.load.abandon()
 	}
-	m.requestArrived(e)
+	m.endExpectation(e)
 	m.load.flowEnded(e)
 	e.state = entryEnded
 }
--- a/holder/entry.go
+++ b/holder/entry.go
@@ -66,7 +66,7 @@
 	openedAge time.Duration
 	// class is the class of the flow's requests, by the latest packet of the caller.
 	class routing.Class
-	// waiting is the request of the flow that waits for a slot, nil if none does.
+	// waiting is the request of the flow that waits in the queue, nil if none does.
 	waiting *queue.Request
 	// passedTo is the sequence number after the last payload of the caller that went to the
 	// backend server, if hasPassed is set. It is only kept when Config.LoadAware is set.
@@ -76,10 +76,11 @@
 	// set. It is only kept when Config.LoadAware is set.
 	sentTo  uint32
 	hasSent bool
-	// overdueAt is when the running request no longer counts against the slots, and
-	// runningPlace is its place in the heap of such requests, plus one; zero is not in it.
-	overdueAt    time.Time
-	runningPlace int
+	// overdueAt is when the running request no longer counts against the slots. Until then
+	// usesSlot is set, and heapIndex is its position in running.list.
+	overdueAt time.Time
+	usesSlot  bool
+	heapIndex int
 	// overdue is set while the running request does not count against the slots.
 	overdue bool
 	// outcome is what is known of how the latest request ended.
--- a/holder/lifecycle.go
+++ b/holder/lifecycle.go
@@ -33,24 +33,24 @@
 	m.outcomeRequestStarted(now, t, e)
 }
 
-// responseStarted is called when the backend server sends the first payload of a response, d
-// after the request was passed to it.
-func (m *Model) responseStarted(now time.Time, t flow.Tuple, e *entry, d time.Duration) {
+// responseStarted is called when the backend server sends the first payload of a response.
+// outcomeServerPacket decides whether the response is good: it has the sequence numbers, which
+// show whether the payload belongs to the response.
+func (m *Model) responseStarted(now time.Time, e *entry) {
 	if !m.config.LoadAware {
 		return
 	}
 	m.slotFreed(e)
-	m.costResponseStarted(now, t, e, d)
-	m.outcomeResponseStarted(now, t, e, d)
+	m.costResponseStarted(now, e)
 }
 
 // requestFinished is called once for each started request, when its end is known: with
 // endResponse when the next request of the flow comes or the flow ends.
-func (m *Model) requestFinished(now time.Time, t flow.Tuple, e *entry, end requestEnd) {
+func (m *Model) requestFinished(now time.Time, e *entry, end requestEnd) {
 	if !m.config.LoadAware {
 		return
 	}
 	m.slotFreed(e)
-	m.costRequestFinished(now, t, e, end)
-	m.outcomeRequestFinished(now, t, e, end)
+	m.costRequestFinished(now, e, end)
+	m.outcomeRequestFinished(now, e, end)
 }
--- a/holder/model.go
+++ b/holder/model.go
@@ -172,7 +172,7 @@
 	case TickMsg:
 		m.tick(now)
 	}
-	// Any message may have freed a slot, and the flows are in a consistent state here.
+	// After any message the backend server may take more requests, and the flows are in a consistent state here.
 	m.startHeld(now)
 	return m.effects
 }
@@ -272,14 +272,14 @@
 		}
 		switch {
 		case e.waiting != nil:
-			// The backend server gets the next packet of the flow when a slot is free.
+			// The backend server gets the next packet of the flow once it takes more requests.
 		case now.Sub(e.lastPacket) > m.entryTimeout(e):
 			m.removeFlow(now, t, e)
 		case e.requestPending() && now.Sub(e.requestedAt) > requestTimeout:
 			// The caller has given up, or the response was lost.
 			e.requestedAt = time.Time{}
 			m.load.abandon()
-			m.finishRequest(now, t, e, endTimeout)
+			m.finishRequest(now, e, endTimeout)
 		}
 	}
 }
@@ -303,11 +303,11 @@
 
 func (m *Model) removeFlow(now time.Time, t flow.Tuple, e *entry) {
 	m.dropHeld(e)
-	m.finishRequest(now, t, e, endAbandoned)
+	m.finishRequest(now, e, endAbandoned)
 	if e.requestPending() {
 		m.load.abandon()
 	}
-	m.requestArrived(e)
+	m.endExpectation(e)
 	delete(m.flows, t)
 }
 
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -36,7 +36,7 @@
 		m.stats.countResponse(d)
 		e.requestedAt = time.Time{}
 		e.answered = true
-		m.responseStarted(now, packet.Segment.Tuple, e, d)
+		m.responseStarted(now, e)
 	}
 	m.noteSent(e, packet.Segment)
 	m.outcomeServerPacket(now, e, packet.Segment)
@@ -133,7 +133,7 @@
 		m.lostByBackend(packet.Segment)
 	case e.state == entryEnded, e.state == entryUnheld:
 	default:
-		m.requestArrived(e)
+		m.endExpectation(e)
 		e.state = entryUnheld
 		m.reject(d, RejectNotHeld)
 	}
--- a/holder/outcome.go
+++ b/holder/outcome.go
@@ -92,13 +92,9 @@
 	}
 }
 
-// outcomeResponseStarted is empty: outcomeServerPacket has the sequence numbers, which show
-// whether the payload belongs to the response.
-func (m *Model) outcomeResponseStarted(_ time.Time, _ flow.Tuple, _ *entry, _ time.Duration) {}
-
 // outcomeRequestFinished decides the outcome of a request that is over, unless the caller has
 // only repeated it.
-func (m *Model) outcomeRequestFinished(now time.Time, _ flow.Tuple, e *entry, end requestEnd) {
+func (m *Model) outcomeRequestFinished(now time.Time, e *entry, end requestEnd) {
 	o := &e.outcome
 	if o.packet == packetRepeated {
 		return
@@ -265,8 +261,3 @@
 	}
 	m.reportFailing(now, before)
 }
-
-// failures returns the share of recent requests that failed.
-func (m *Model) failures(_ time.Time) outlier.Estimate {
-	return m.outcomes.monitor.Estimate()
-}
--- a/holder/report.go
+++ b/holder/report.go
@@ -104,7 +104,7 @@
 
 		HasLoad:  m.config.LoadAware,
 		Load:     m.serverLoad(now),
-		Failures: m.failures(now),
+		Failures: m.outcomes.monitor.Estimate(),
 	}
 }
 
--- a/holder/running.go
+++ b/holder/running.go
@@ -8,8 +8,8 @@
 	"github.com/lentilshed/lentilshed/routing"
 )
 
-// running has the requests that the backend server works on, as far as they count against its
-// slots. It answers lost responses: a request without one would keep a slot from the waiting
+// running has the requests that were passed to the backend server and have no response, as far
+// as they count against its slots. It answers lost responses: a request without one would keep a slot from the waiting
 // requests until requestTimeout.
 type running struct {
 	// list is a heap by when the requests become overdue.
@@ -40,13 +40,14 @@
 	case e.overdue:
 		e.overdue = false
 		r.overdue--
-	case e.runningPlace > 0:
-		heap.Remove(&r.list, e.runningPlace-1)
+	case e.usesSlot:
+		heap.Remove(&r.list, e.heapIndex)
 	}
 }
 
-// overdueBy returns the number of requests that run and are overdue.
-func (r *running) overdueBy(now time.Time) int {
+// updateOverdue marks the requests that have become overdue, and returns the number of overdue
+// ones that still run.
+func (r *running) updateOverdue(now time.Time) int {
 	for len(r.list) > 0 && now.After(r.list[0].overdueAt) {
 		heap.Pop(&r.list).(*entry).overdue = true
 		r.overdue++
@@ -71,15 +72,16 @@
 func (h *overdueHeap) Swap(i, j int) {
 	l := *h
 	l[i], l[j] = l[j], l[i]
-	l[i].runningPlace = i + 1
-	l[j].runningPlace = j + 1
+	l[i].heapIndex = i
+	l[j].heapIndex = j
 }
 
 // Push implements heap.Interface.
 func (h *overdueHeap) Push(x any) {
 	e := x.(*entry)
+	e.usesSlot = true
+	e.heapIndex = len(*h)
 	*h = append(*h, e)
-	e.runningPlace = len(*h)
 }
 
 // Pop implements heap.Interface.
@@ -89,6 +91,6 @@
 	e := l[n]
 	l[n] = nil
 	*h = l[:n]
-	e.runningPlace = 0
+	e.usesSlot = false
 	return e
 }
--- a/holder/schedule.go
+++ b/holder/schedule.go
@@ -12,7 +12,7 @@
 // schedule decides when the requests of callers go to the backend server. It answers bursts of
 // requests on flows that are already open, which no admission of new flows can limit: the
 // backend server processes them in order of arrival and sheds what exceeds its own queue, so
-// requests wait here and start by urgency as its slots become free.
+// requests wait here and start by urgency once it has fewer than its slots and Config.Ahead.
 type schedule struct {
 	queue   *queue.Queue
 	running running
@@ -40,15 +40,15 @@
 	return m.config.LoadAware && m.server.slots > 0 && !m.schedule.closed && !m.server.draining
 }
 
-// slotFree reports whether the backend server should get another request: it has a slot for it, or
-// fewer than Config.Ahead requests that wait for one.
-func (m *Model) slotFree(now time.Time) bool {
-	return m.load.inFlight-m.schedule.running.overdueBy(now) < int(m.server.slots)+m.config.Ahead
+// serverTakesMore reports whether the backend server should get another request: it has a slot
+// for it, or fewer than Config.Ahead requests that wait for one.
+func (m *Model) serverTakesMore(now time.Time) bool {
+	return m.load.inFlight-m.schedule.running.updateOverdue(now) < int(m.server.slots)+m.config.Ahead
 }
 
-// held reports whether a caller's packet waits in the queue instead of going to the backend
-// server now. If it was absorbed, because it repeats one that waits, it counts as held.
-func (m *Model) held(now time.Time, e *entry, packet DeliverMsg) bool {
+// hold adds a caller's packet to the queue if it has to wait, and reports whether it does. A
+// packet that repeats one that waits is dropped, and counts as waiting.
+func (m *Model) hold(now time.Time, e *entry, packet DeliverMsg) bool {
 	s := packet.Segment
 	if e.waiting != nil {
 		return m.holdMore(now, e, packet)
@@ -65,7 +65,7 @@
 // holdRequest adds a request to the queue, unless it may start at once or does not fit.
 func (m *Model) holdRequest(now time.Time, e *entry, packet DeliverMsg) bool {
 	q := m.schedule.queue
-	if q.Len() == 0 && m.slotFree(now) {
+	if q.Len() == 0 && m.serverTakesMore(now) {
 		return false
 	}
 	startBy := e.lastPacket.Add(m.declared.IdleTimeout - idleMargin)
@@ -164,8 +164,8 @@
 	})
 }
 
-// startHeld passes waiting requests to the backend server while slots are free, and all of
-// them when requests may no longer wait. It drops those whose callers have given up. Update
+// startHeld passes waiting requests to the backend server while it takes more, and all of them
+// when requests may no longer wait. It drops those whose callers have given up. Update
 // calls it last, so that it does not see a flow that is being removed.
 func (m *Model) startHeld(now time.Time) {
 	q := m.schedule.queue
@@ -177,7 +177,7 @@
 		}
 		m.startRequest(now, r)
 	}
-	for q.Len() > 0 && (!m.queueing() || m.slotFree(now)) {
+	for q.Len() > 0 && (!m.queueing() || m.serverTakesMore(now)) {
 		m.startRequest(now, q.Next(now))
 	}
 }
--- a/holder/service_time.go
+++ b/holder/service_time.go
@@ -26,10 +26,8 @@
 type runningRequest struct {
 	entry *entry
 	route routing.Address
-	// startedAt is when it was passed to the backend server, and begunAt when a slot was free
-	// for it; zero while none is.
-	startedAt time.Time
-	begunAt   time.Time
+	// begunAt is when a slot was free for it; zero while none is.
+	begunAt time.Time
 	// lostAfter is the time from begunAt after which its response is taken for lost.
 	lostAfter time.Duration
 	// measured is set if it is known when a slot was free for it, so that its time from then on
@@ -69,14 +67,13 @@
 	e.requests++
 	c.table.ObserveRequest(now, route, e.requests == 1)
 	c.running = append(c.running, runningRequest{
-		entry:     e,
-		route:     route,
-		startedAt: now,
+		entry: e,
+		route: route,
 	})
 	m.assignSlots(now)
 }
 
-func (m *Model) costResponseStarted(now time.Time, _ flow.Tuple, e *entry, _ time.Duration) {
+func (m *Model) costResponseStarted(now time.Time, e *entry) {
 	c := &m.serviceTimes
 	r, ok := c.remove(e)
 	if ok && r.measured {
@@ -91,7 +88,7 @@
 	m.assignSlots(now)
 }
 
-func (m *Model) costRequestFinished(now time.Time, _ flow.Tuple, e *entry, end requestEnd) {
+func (m *Model) costRequestFinished(now time.Time, e *entry, end requestEnd) {
 	c := &m.serviceTimes
 	if end == endResponse {
 		for i, a := range c.answered {
