--- a/director/ejection.go
+++ b/director/ejection.go
@@ -15,8 +15,8 @@
 type ejection struct {
 	// failing has the number of failing targets of each service that had any lately.
 	failing map[string]int
-	// servers is scratch space of updateEjected, and skipped are the targets that the latest choice left
-	// out for the present flow.
+	// servers is scratch space of updateEjected, and skipped are the targets that the latest
+	// choice left out for the present flow.
 	servers []outlier.Server
 	skipped []*member
 }
@@ -142,8 +142,8 @@
 	}
 }
 
-// subscribeToEjected keeps this balancer subscribed to the targets that it has just left out, so that
-// it learns at once when they have recovered. Agents to which it sends flows subscribe it.
+// subscribeToEjected keeps this balancer subscribed to the targets that it has just left out, so
+// that it learns at once when they have recovered. Agents to which it sends flows subscribe it.
 func (m *Model) subscribeToEjected(now time.Time, crowded bool) {
 	for _, agent := range m.ejection.skipped {
 		near := agent.Domain == m.config.Domain
--- a/holder/quiet.go
+++ b/holder/quiet.go
@@ -12,8 +12,8 @@
 )
 
 // Quiet reports whether no caller waits for the backend server: no request is in flight
-// or waits here, no handshake is under way, and no answer is being transferred. An agent that is asked to
-// stop under load ends at such a moment, so that accepted requests get their answers.
+// or waits here, no handshake is under way, and no answer is being transferred. An agent that is
+// asked to stop under load ends at such a moment, so that accepted requests get their answers.
 func (m *Model) Quiet(now time.Time) bool {
 	if m.load.requestsPending() || m.schedule.queue.Len() > 0 || now.Sub(m.server.lastPacket) < answerGap {
 		return false
--- a/holder/subscribers.go
+++ b/holder/subscribers.go
@@ -85,7 +85,8 @@
 
 // FlowOpened records that a balancer sent the first packet of a flow, and reports
 // whether the balancer gets a report at once, with load. A second such packet within
-// ReportLease subscribes the balancer to such reports. use is the number of requests in flight divided by the slots.
+// ReportLease subscribes the balancer to such reports. use is the number of requests in flight
+// divided by the slots.
 func (s *Subscribers) FlowOpened(now time.Time, from netip.AddrPort, use float64) bool {
 	b := s.subscriber(now, from)
 	if b == nil {
--- a/host/agent.go
+++ b/host/agent.go
@@ -163,8 +163,8 @@
 }
 
 // Stop reports to balancers that the agent is stopping, which ends new flows to it, hands its
-// open flows over to some of them, and ends it once no caller waits for the backend server or after maxDrainTime. It removes
-// the agent's record if the backend server has ended before.
+// open flows over to some of them, and ends it once no caller waits for the backend server or after
+// maxDrainTime. It removes the agent's record if the backend server has ended before.
 func (a *Agent) Stop() {
 	for range finalReports {
 		a.update(holder.StopMsg{})
--- a/queue/level.go
+++ b/queue/level.go
@@ -11,7 +11,7 @@
 type level struct {
 	priority routing.Priority
 	// onTime has the requests that could still meet their deadline when last looked at, and
-	// late those that can not.
+	// late those that cannot.
 	onTime requestHeap
 	late   requestHeap
 	// oldest and newest are the ends of the list of all requests in order of arrival.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -74,7 +74,7 @@
 	return len(q.byLeave.list)
 }
 
-// Packets returns the number of packets of the waiting requests, and Bytes their size.
+// Packets returns the number of packets of the waiting requests.
 func (q *Queue) Packets() int {
 	return q.packets
 }
--- a/queue/request.go
+++ b/queue/request.go
@@ -18,7 +18,7 @@
 	Deadline time.Time
 	// GiveUpAt is when the caller no longer waits.
 	GiveUpAt time.Time
-	// StartBy is when the request has to start although no slot is free; zero is never.
+	// StartBy is when the request has to start although the backend server takes no more; zero is never.
 	StartBy time.Time
 	// Work is the expected time that the backend server needs for the request.
 	Work time.Duration
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -56,9 +56,9 @@
 }
 
 // Merge applies a delta and returns the services of the members in it, also those that they
-// have left, and, on a new term, of all members. A delta at or below the held version changes nothing and returns
-// nil; one that starts above it or does not continue this roster's history returns
-// ErrGap.
+// have left, and, on a new term, of all members. A delta at or below the held version changes
+// nothing and returns nil; one that starts above it or does not continue this roster's history
+// returns ErrGap.
 func (r *Roster) Merge(delta *controlpb.Roster) ([]string, error) {
 	if Version(delta.GetVersion()) <= r.Version {
 		return nil, nil
@@ -86,7 +86,8 @@
 
 // Since returns every member changed after a version, or the whole roster when the
 // version is not known to be part of this roster's history. A service limits the result
-// to its members, those that have left it, and the balancers; empty gives all. The order is not fixed.
+// to its members, those that have left it, and the balancers; empty gives all. The order is not
+// fixed.
 func (r *Roster) Since(v Version, service string) *controlpb.Roster {
 	if !r.inHistory(v) {
 		v = 0
