--- a/cmd/lentilshed/passthrough.go
+++ b/cmd/lentilshed/passthrough.go
@@ -70,27 +70,30 @@
 
 func newPassthroughCommand(out io.Writer) *cobra.Command {
 	var path string
+	var contracts []string
 	c := &cobra.Command{
-		Use:   "serve [--config FILE]",
+		Use:   "serve [--config FILE] [--contracts LIST]",
 		Short: "Run the balancer or agent that the settings describe, on the users' platform",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if path == "" {
 				path = platform.SettingsPath()
 			}
-			return servePassthrough(path, out)
+			return servePassthrough(path, contracts, out)
 		},
 	}
 	c.Flags().StringVar(&path, "config", "", "TOML settings file; by default the one that the platform provides")
+	c.Flags().StringSliceVar(&contracts, "contracts", nil, "parts of the users' rules that are in force, besides those in the settings")
 	return c
 }
 
 // servePassthrough runs one process until SIGTERM or SIGINT.
-func servePassthrough(path string, out io.Writer) error {
+func servePassthrough(path string, contracts []string, out io.Writer) error {
 	f, err := readPassthrough(path)
 	if err != nil {
 		return err
 	}
+	f.Passthrough.Contracts = append(f.Passthrough.Contracts, contracts...)
 	logWriter := telemetry.NewAsyncWriter(out)
 	defer logWriter.Close(logFlushTimeout)
 	tracer, file, err := openTraces(f.Trace, f.Passthrough.Name, logWriter)
