Soak: give balancers the time to learn that a domain is back before a refusal counts

The verifier clears its mark before the store is told, and balancers learn of a return within the bound for domains.

A backend server counts as free for refusals once its domain has been back for that bound.

--- a/soak/chaos_operator_test.go
+++ b/soak/chaos_operator_test.go
@@ -25,6 +25,7 @@
 		time.Sleep(d)
 		c.verifier.mu.Lock()
 		delete(c.verifier.outSince, domain)
+		c.verifier.returnedAt[domain] = time.Now()
 		c.verifier.mu.Unlock()
 		c.region.store.ReturnToService(domain)
 	})
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -212,8 +212,12 @@
 }
 
 // checkFree checks that a flow was not refused while a backend server was free. It must have been
-// free for longer than a report is old, as the balancer cannot know it sooner.
+// free for longer than a report is old, as the balancer cannot know it sooner, and its failure
+// domain must not have returned to service within the time in which that is in force.
 func (v *verifier) checkFree(f *callerFlow, b *backend) {
+	if time.Since(v.returnedAt[domainOf(b.instance)]) <= v.extend(domainBound) {
+		return
+	}
 	if !v.region.loadAware || !v.steady(f.balancer) || !v.steady(b.instance) || time.Since(b.startedAt) < startupTime {
 		return
 	}
--- a/soak/verifier_test.go
+++ b/soak/verifier_test.go
@@ -45,6 +45,8 @@
 	storeUnstableUntil time.Time
 	// outSince is when a failure domain was taken out of service.
 	outSince map[string]time.Time
+	// returnedAt is when a failure domain was last returned to service.
+	returnedAt map[string]time.Time
 	// routeAdded and routeRemoved are when the store acknowledged that the routes of a
 	// port were added or removed.
 	routeAdded, routeRemoved map[int]time.Time
@@ -71,6 +73,7 @@
 		flows:          map[flow.Tuple]*callerFlow{},
 		disturbedUntil: map[int]time.Time{},
 		outSince:       map[string]time.Time{},
+		returnedAt:     map[string]time.Time{},
 		routeAdded:     map[int]time.Time{urgentPort: time.Now(), lessUrgentPort: time.Now()},
 		routeRemoved:   map[int]time.Time{},
 		lowIdleTimeout: maxIdleTimeout,
