--- a/cmd/internal/usage/usage.go
+++ b/cmd/internal/usage/usage.go
@@ -1,4 +1,4 @@
-// Package usage runs the command lines of the programs and tells wrong usage from a failure
+// Package usage runs the command lines of the programs and distinguishes wrong usage from a failure
 // at run time. Scripts see the difference in the exit status.
 package usage
 
--- a/cmd/lentilctl/root_test.go
+++ b/cmd/lentilctl/root_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// TestExitStatus guards against scripts that cannot tell a wrong command line, which fails
+// TestExitStatus guards against scripts that cannot distinguish a wrong command line, which fails
 // again, from a platform that does not answer. Nothing listens at the platform's address.
 func TestExitStatus(t *testing.T) {
 	const reachable = "--platform=http://127.0.0.1:1 --region=r "
--- a/configcheck/diff.go
+++ b/configcheck/diff.go
@@ -32,7 +32,7 @@
 	fields []field
 }
 
-// entryID tells entries of one kind apart. Occurrence counts those of the same name, which is
+// entryID identifies an entry among those of its kind. Occurrence counts those of the same name, which is
 // an error but is compared all the same.
 type entryID struct {
 	name       string
--- a/cost/route_estimate.go
+++ b/cost/route_estimate.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// minMicros and maxMicros bound the work that is told apart, and digits is its precision
+	// minMicros and maxMicros bound the work that is recorded, and digits is its precision
 	// in significant digits.
 	minMicros = 100
 	maxMicros = 60_000_000
--- a/director/domain_loss.go
+++ b/director/domain_loss.go
@@ -22,10 +22,10 @@
 
 // domainSilence is what a balancer has received from one domain lately.
 type domainSilence struct {
-	// heard is the number of agents that have sent something within domainLossTimeout, and
-	// heardNow of those that have within silenceTimeout.
-	heard    int
-	heardNow int
+	// received is the number of agents that have sent something within domainLossTimeout, and
+	// receivedNow of those that have within silenceTimeout.
+	received    int
+	receivedNow int
 	// silent is the number of agents that should have sent something for domainLossTimeout,
 	// have not, and were not asked to stop.
 	silent int
@@ -36,7 +36,7 @@
 	// agents is the number of agents that were not asked to stop.
 	agents int
 	// known is set once something was received from the domain. Agents that were asked to stop
-	// before this process started cannot be told from others.
+	// before this process started cannot be distinguished from others.
 	known bool
 	// othersSince is since when enough agents of other domains are received all the time; zero
 	// is not at present.
@@ -59,7 +59,7 @@
 )
 
 // tickDomainLoss updates which failure domains count as lost, and requests reports from
-// domains that are silent, so that there are enough agents to tell.
+// domains that are silent, so that there are enough agents to decide.
 func (m *Model) tickDomainLoss(now time.Time) {
 	d := &m.domainLoss
 	d.listen(now, m.sortedMembers)
@@ -68,7 +68,7 @@
 		_, lost := d.lost[domain]
 		switch {
 		case domain == m.config.Domain:
-		case lost && s.heard > 0:
+		case lost && s.received > 0:
 			delete(d.lost, domain)
 			m.emit(LogEffect{
 				Event:  "agents of the failure domain are received again",
@@ -81,7 +81,7 @@
 				Member: domain,
 				Count:  s.silent,
 			})
-		case s.heardNow == 0 && s.waiting > 0 && s.waiting < maxAskedAgents:
+		case s.receivedNow == 0 && s.waiting > 0 && s.waiting < maxAskedAgents:
 			// A few at each tick, as the reply of one is enough.
 			m.requestFrom(now, domain, min(minSilentAgents, maxAskedAgents-s.waiting))
 		}
@@ -114,10 +114,10 @@
 	if !agent.lastReceived.IsZero() {
 		s.known = true
 		if now.Sub(agent.lastReceived) < domainLossTimeout {
-			s.heard++
+			s.received++
 		}
 		if now.Sub(agent.lastReceived) < silenceTimeout {
-			s.heardNow++
+			s.receivedNow++
 		}
 	}
 	if agent.stopping() {
@@ -145,9 +145,9 @@
 // allSilent reports whether nothing is received from the domain any more, although enough of its
 // agents were asked, and this balancer was not cut off at any time since.
 func (s *domainSilence) allSilent(now time.Time) bool {
-	heard := !s.known || s.heard > 0
-	hearsOthers := !s.othersSince.IsZero() && now.Sub(s.othersSince) >= domainLossTimeout
-	return !heard && hearsOthers && s.silent >= minSilentAgents && s.unanswered >= min(s.agents, maxAskedAgents)
+	received := !s.known || s.received > 0
+	receivesOthers := !s.othersSince.IsZero() && now.Sub(s.othersSince) >= domainLossTimeout
+	return !received && receivesOthers && s.silent >= minSilentAgents && s.unanswered >= min(s.agents, maxAskedAgents)
 }
 
 // checkOthers updates since when the agents of other domains are received. After this balancer
@@ -158,7 +158,7 @@
 	d.tickedAt = now
 	for domain, s := range d.seen {
 		switch {
-		case !d.othersHeard(domain):
+		case !d.othersReceived(domain):
 			s.othersSince = time.Time{}
 		case paused || s.othersSince.IsZero():
 			s.othersSince = now
@@ -166,13 +166,13 @@
 	}
 }
 
-// othersHeard reports whether enough agents of other domains are received: otherwise this
+// othersReceived reports whether enough agents of other domains are received: otherwise this
 // balancer is cut off itself.
-func (d *domainLoss) othersHeard(domain string) bool {
+func (d *domainLoss) othersReceived(domain string) bool {
 	n := 0
 	for other, s := range d.seen {
 		if other != domain {
-			n += s.heardNow
+			n += s.receivedNow
 		}
 	}
 	return n >= minSilentAgents
--- a/director/domain_loss_test.go
+++ b/director/domain_loss_test.go
@@ -42,8 +42,8 @@
 // silence describes which agents fall silent in a run of flowsReset.
 type silence struct {
 	// agents is the number of agents of the domain, of which one holds a flow and the last
-	// heard ones go on reporting.
-	agents, heard int
+	// received ones go on reporting.
+	agents, received int
 	// stopping is set if the agents were asked to stop.
 	stopping bool
 	// cutOff is set if the balancer receives nothing from the other domains either.
@@ -69,7 +69,7 @@
 		}
 		for range 4 {
 			b.advance(50 * time.Millisecond)
-			for n := x.agents - x.heard; n < x.agents; n++ {
+			for n := x.agents - x.received; n < x.agents; n++ {
 				m := domainAgent("domain-b", n)
 				m.Sequence = uint64(b.now.UnixMilli())
 				b.update(director.ReportMsg{
@@ -101,8 +101,8 @@
 func TestSilentAgentsKeepTheirFlows(t *testing.T) {
 	for name, x := range map[string]silence{
 		"one of five is received": {
-			agents: 5,
-			heard:  1,
+			agents:   5,
+			received: 1,
 		},
 		"too few to tell": {
 			agents: 3,
--- a/holder/cold_shares.go
+++ b/holder/cold_shares.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// coldBuckets is the number of parts of the last second that coldShares tells apart.
+	// coldBuckets is the number of parts of the last second that coldShares counts separately.
 	coldBuckets = 10
 	coldBucket  = time.Second / coldBuckets
 	// maxReserved is the part of a cold rate that can be reserved for more urgent flows; the
--- a/holder/outbound.go
+++ b/holder/outbound.go
@@ -45,32 +45,6 @@
 	m.emit(ToCallerEffect(packet))
 }
 
-// sendsNew reports whether a packet of the backend server has payload that it has not sent
-// before. If load-aware, a retransmitted end of the previous response is not taken for the
-// response to the request in flight.
-func (m *Model) sendsNew(e *entry, s segment.Segment) bool {
-	if s.Length == 0 {
-		return false
-	}
-	return !m.config.LoadAware || !e.hasSent || segment.After(s.Sequence+uint32(s.Length), e.sentTo)
-}
-
-// noteSent records how far the backend server has sent.
-func (m *Model) noteSent(e *entry, s segment.Segment) {
-	if !m.config.LoadAware || s.Has(segment.Rst) {
-		// The sequence number of a reset need not be that of the flow.
-		return
-	}
-	end := s.Sequence + uint32(s.Length)
-	if s.Has(segment.Syn) {
-		end++
-	}
-	if !e.hasSent || segment.After(end, e.sentTo) {
-		e.sentTo = end
-		e.hasSent = true
-	}
-}
-
 // rebuiltEntry returns the entry of a flow that was not in the table and of which the backend
 // server has sent a packet. It is open, unless the packet is a SYN-ACK: another backend server
 // may have accepted the same flow.
--- a/holder/schedule.go
+++ b/holder/schedule.go
@@ -214,26 +214,6 @@
 	m.startHeld(now)
 }
 
-// notePassed records how far the caller's payload has gone to the backend server.
-func (m *Model) notePassed(e *entry, s segment.Segment) {
-	if !m.config.LoadAware || s.Length == 0 {
-		return
-	}
-	end := s.Sequence + uint32(s.Length)
-	if !e.hasPassed || segment.After(end, e.passedTo) {
-		e.passedTo = end
-		e.hasPassed = true
-	}
-}
-
-// repeatsAnswered reports whether a packet only has payload that went to the backend server
-// before its latest response began. It is a retransmission, and no request: it would hold a
-// slot although the backend server does not work on it.
-func (m *Model) repeatsAnswered(e *entry, s segment.Segment) bool {
-	return m.config.LoadAware && e.hasPassed && e.started && e.answered && s.Length > 0 &&
-		!segment.After(s.Sequence+uint32(s.Length), e.passedTo)
-}
-
 // workAhead returns the expected work of the waiting requests that goes before new ones, by
 // their priority, the most urgent first. The result is valid until the next call.
 func (m *Model) workAhead(now time.Time) []cost.PriorityWork {
--- a/holder/stats.go
+++ b/holder/stats.go
@@ -55,7 +55,7 @@
 	Open int
 }
 
-// queueClasses is the number of priorities that Stats.Queue tells apart.
+// queueClasses is the number of priorities that Stats.Queue counts separately.
 const queueClasses = 8
 
 // QueueStats counts the requests of one priority in the queue.
--- a/intent/store_test.go
+++ b/intent/store_test.go
@@ -171,7 +171,7 @@
 	require.ErrorIs(t, err, ErrGap)
 }
 
-// TestThrottledChangeIsNotAccepted guards against operators who are told that the outcome of a
+// TestThrottledChangeIsNotAccepted guards against the report that the outcome of a
 // change is unknown although the platform refused every attempt before it wrote anything.
 func TestThrottledChangeIsNotAccepted(t *testing.T) {
 	s, p := newTestStore(t)
--- a/outlier/baseline.go
+++ b/outlier/baseline.go
@@ -13,7 +13,7 @@
 // before they came is discarded: it may have been learned from errors.
 //
 // A new version may have responses that are far shorter and faster than the service-wide ones,
-// and agents cannot tell these from errors. They become usual after acceptAfter if fewer than
+// and agents cannot distinguish these from errors. They become usual after acceptAfter if fewer than
 // minBaselineSamples responses of the route were good until then.
 type Baseline struct {
 	usual means
@@ -36,7 +36,7 @@
 const (
 	// minBaselineSamples is the number of responses from which on the means are used.
 	minBaselineSamples = 20
-	// minUsualBytes is the mean length below which a route's responses are not told apart: in
+	// minUsualBytes is the mean length below which a route's responses are not classified by length: in
 	// the users' trials, errors have up to 299 bytes.
 	minUsualBytes = 300
 	// shortDivisor and fastDivisor say how much shorter and faster than the means a failed
--- a/outlier/baselines.go
+++ b/outlier/baselines.go
@@ -9,7 +9,7 @@
 	service map[routing.Address]Usual
 }
 
-// maxBaselines bounds the routes that are told apart. The users' services have up to three.
+// maxBaselines bounds the routes that are kept. The users' services have up to three.
 const maxBaselines = 64
 
 // Of returns the baseline of a route, or nil, which learns nothing, if there are too many.
--- a/placement/backlog.go
+++ b/placement/backlog.go
@@ -7,7 +7,7 @@
 	"github.com/lentilshed/lentilshed/routing"
 )
 
-// PriorityLevels is the number of levels of urgency that are told apart; the last one includes
+// PriorityLevels is the number of levels of urgency that are distinguished; the last one includes
 // all further priorities.
 const PriorityLevels = 8
 
