Show that lost machines make a balancer reset flows of their zone

With the records of twelve lost machines in a failure domain, a balancer asks none of its agents any more and takes the domain for lost whenever it is quiet.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -255,3 +255,103 @@
 	}
 	return rec.regressed("ordo", "liedlive", 250*time.Millisecond)
 }
+
+// lostMachines replaces the four side machines of one zone three times over, one at a time: a
+// machine is lost for good, and another one is added at a new address. Then it starts a front node
+// of another zone again, opens flows through it to the targets in that zone, and uses them again
+// after a pause.
+func lostMachines(repo string, rec *record, trouble bool) (bool, error) {
+	specs := []spec{
+		{"front-muenchen-a-1", "muenchen-a", ""},
+		{"front-muenchen-b-1", "muenchen-b", ""},
+		{"front-nuernberg-1", "nuernberg", ""},
+		{"side-muenchen-b-1", "muenchen-b", "ordo"},
+	}
+	for i := range 4 {
+		specs = append(specs, spec{fmt.Sprintf("side-nuernberg-%d", i+1), "nuernberg", "ordo"})
+	}
+	const kept, lost = 4, 12
+	for i := range kept + lost {
+		specs = append(specs, spec{fmt.Sprintf("side-muenchen-a-%d", i+1), "muenchen-a", "liedlive"})
+	}
+	c, err := newCluster(repo, rec, specs)
+	if err != nil {
+		return false, err
+	}
+	defer c.stop()
+	for i := range lost {
+		c.machine(fmt.Sprintf("side-muenchen-a-%d", kept+i+1)).later = true
+	}
+	live, ordo := routeAddress("198.18.0.1", 8080), routeAddress("198.18.0.2", 8443)
+	c.configure(3, []route{{"r-live", "198.18.0.1", "liedlive", 8080}, {"r-ordo", "198.18.0.2", "ordo", 8443}})
+	if err := c.start(); err != nil {
+		return false, err
+	}
+	for i := 1; trouble && i <= lost; i++ {
+		c.remove(c.machine(fmt.Sprintf("side-muenchen-a-%d", i)))
+		added := c.machine(fmt.Sprintf("side-muenchen-a-%d", i+kept))
+		if err := c.startMachine(added); err != nil {
+			return false, err
+		}
+		time.Sleep(700 * time.Millisecond)
+	}
+	// Planned work, in both runs.
+	front := c.machine("front-nuernberg-1")
+	c.terminate(front)
+	time.Sleep(300 * time.Millisecond)
+	if err := c.startProcess(front); err != nil {
+		return false, err
+	}
+	time.Sleep(stability + time.Second)
+	local, err1 := c.newClient("tablets-muenchen-a", "muenchen-a")
+	layouts, err2 := c.newClient("layouts-nuernberg", "nuernberg")
+	remote, err3 := c.newClient("boards-nuernberg", "nuernberg")
+	if err := errors.Join(err1, err2, err3); err != nil {
+		return false, err
+	}
+	stop := make(chan struct{})
+	var w sync.WaitGroup
+	load(local, live, 40*time.Millisecond, stop, &w)
+	load(layouts, ordo, 50*time.Millisecond, stop, &w)
+	time.Sleep(15 * time.Second)
+	flows := boards(remote, live, 20, 50*time.Millisecond)
+	if len(flows) < 10 {
+		return false, fmt.Errorf("only %d flows opened", len(flows))
+	}
+	time.Sleep(8 * time.Second)
+	return c.useAgain(flows, stop, &w)
+}
+
+// useAgain sends a second request on each flow, and reports whether one was reset that its target
+// holds. It ends the load.
+func (c *cluster) useAgain(flows []*flow, stop chan struct{}, w *sync.WaitGroup) (bool, error) {
+	resets, answered := 0, 0
+	for i, f := range flows {
+		holder := c.rec.holderOf(f.key)
+		if holder == nil || !holder.holds(f.key) {
+			continue
+		}
+		if f.resetPending() {
+			resets++
+			c.rec.add("%s, which target %s holds, was reset by the system", f.name(), holder.config.id)
+			continue
+		}
+		switch err := f.request(fmt.Sprintf("%s-second-%d", f.client.name, i), deadline); {
+		case err == nil:
+			answered++
+		case errors.Is(err, errReset) && holder.holds(f.key):
+			resets++
+			c.rec.add("%s, which target %s holds, was reset by the system", f.name(), holder.config.id)
+		}
+	}
+	close(stop)
+	w.Wait()
+	c.rec.add("%d flows: %d answered, %d open ones reset", len(flows), answered, resets)
+	if !c.alive() {
+		return false, errors.New("a process ended by itself")
+	}
+	if resets == 0 && answered == 0 {
+		return false, errors.New("no flow could be judged")
+	}
+	return resets > 0, nil
+}
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -38,6 +38,8 @@
 	done                chan struct{}
 	settings            string
 	target              *target
+	// later is set for a machine that is added during the run, and removed for one that was lost.
+	later, removed bool
 }
 
 func (m *machine) front() bool { return m.service == "" }
@@ -216,9 +218,32 @@
 	c.rec.add("process of %s is killed", m.name)
 }
 
+// remove takes a side machine away for good, without a word.
+func (c *cluster) remove(m *machine) {
+	m.removed = true
+	m.target.crash()
+	c.kill(m)
+	c.rec.add("machine %s is lost for good", m.name)
+}
+
+// terminate stops the process of a machine as the platform does.
+func (c *cluster) terminate(m *machine) {
+	_ = m.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-m.done:
+	case <-time.After(6 * time.Second):
+		_ = m.cmd.Process.Signal(syscall.SIGKILL)
+		<-m.done
+	}
+	c.rec.add("process of %s was stopped with SIGTERM", m.name)
+}
+
 // alive reports whether no process has ended by itself.
 func (c *cluster) alive() bool {
 	for _, m := range c.machines {
+		if m.removed || m.cmd == nil {
+			continue
+		}
 		select {
 		case <-m.done:
 			return false
@@ -228,6 +253,15 @@
 	return true
 }
 
+// startMachine starts the process of a machine, and its target if it is a side machine.
+func (c *cluster) startMachine(m *machine) error {
+	if err := c.startProcess(m); err != nil || m.front() {
+		return err
+	}
+	m.target = c.newTarget(m, fmt.Sprintf("i-%04d", m.index))
+	return m.target.start()
+}
+
 // newTarget returns the target beside a machine.
 func (c *cluster) newTarget(m *machine, id string) *target {
 	return newTarget(targetConfig{
@@ -246,24 +280,22 @@
 // start starts all processes and targets, and waits until all fronts are in rotation and all
 // targets registered.
 func (c *cluster) start() error {
-	sides := 0
+	fronts, sides := 0, 0
 	for _, m := range c.machines {
-		if err := c.startProcess(m); err != nil {
-			return err
-		}
-	}
-	for i, m := range c.machines {
-		if m.front() {
+		if m.later {
 			continue
 		}
-		sides++
-		m.target = c.newTarget(m, fmt.Sprintf("i-%04d", i+1))
-		if err := m.target.start(); err != nil {
+		if err := c.startMachine(m); err != nil {
 			return err
 		}
+		if m.front() {
+			fronts++
+		} else {
+			sides++
+		}
 	}
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if c.router.ready() == len(c.machines)-sides && len(c.store.names("lentilshed-agents")) == sides {
+		if c.router.ready() == fronts && len(c.store.names("lentilshed-agents")) == sides {
 			time.Sleep(3 * time.Second)
 			return nil
 		}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 	"zone_cut":            zoneCut,
 	"malformed_heartbeat": malformedHeartbeat,
 	"route_moved":         routeMoved,
+	"lost_machines":       lostMachines,
 }
 
 // main takes the name of a case, the repository and the folder of the case.
