--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -173,7 +173,7 @@
 			m := c.machine(machine)
 			h := m.target.heartbeat()
 			h["born"] = time.Now().UnixMilli()
-			h["seq_no"] = 1
+			h[wire("sequence")] = 1
 			malform(h)
 			status, err := postHeartbeat(m.target.config.control, "i-other", h)
 			rec.add("another writer sends %s the heartbeat %s: status %d, %v", m.name, encode(h), status, err)
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -151,23 +151,23 @@
 		}
 	}
 	values := map[string]string{
-		"node_name":                  m.name,
-		"region":                     "bayern",
-		"zone":                       m.zone,
-		"ip_addr":                    c.proxy.own(m.index, 0).Addr().String(),
-		"internal_ports.0":           fmt.Sprint(peerPort),
-		"listen_addrs.datagram_addr": c.proxy.own(m.index, packetPort).String(),
-		"listen_addrs.ready":         c.proxy.own(m.index, readyPort).String(),
-		"listen_addrs.control":       c.proxy.own(m.index, controlPort).String(),
-		"listen_addrs.outbound":      c.proxy.own(m.index, outboundPort).String(),
-		"platform.address":           c.storeAddress(),
-		"seeds|json":                 "[" + strings.Join(seeds, ",") + "]",
-		"service":                    m.service,
-		"app":                        c.proxy.own(m.index, appPort).String(),
-		"bounds.grace_s":             "6",
-		"bounds.config_apply_ms":     "3000",
-		"bounds.evacuation_ms":       "5000",
-		"bounds.stability_ms":        "4000",
+		"node_name":              m.name,
+		"region":                 "bayern",
+		"zone":                   m.zone,
+		"ip_addr":                c.proxy.own(m.index, 0).Addr().String(),
+		"internal_ports.0":       fmt.Sprint(peerPort),
+		wire("packets"):          c.proxy.own(m.index, packetPort).String(),
+		wire("ready"):            c.proxy.own(m.index, readyPort).String(),
+		wire("control"):          c.proxy.own(m.index, controlPort).String(),
+		wire("outbound"):         c.proxy.own(m.index, outboundPort).String(),
+		"platform.address":       c.storeAddress(),
+		"seeds|json":             "[" + strings.Join(seeds, ",") + "]",
+		"service":                m.service,
+		"app":                    c.proxy.own(m.index, appPort).String(),
+		"bounds.grace_s":         "6",
+		"bounds.config_apply_ms": "3000",
+		"bounds.evacuation_ms":   "5000",
+		"bounds.stability_ms":    "4000",
 	}
 	missing := ""
 	out := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(text), func(s string) string {
@@ -359,7 +359,7 @@
 	seen := map[string]bool{}
 	for _, r := range routes {
 		l = append(l, map[string]any{
-			"name": r.name, "host": r.host, "path_prefix": fmt.Sprintf("/%d/", r.port), "type": "idempotent",
+			"name": r.name, "host": r.host, wire("port"): fmt.Sprintf("/%d/", r.port), "type": "idempotent",
 			"timeout_ms": 1500, "objective_ms": 150, "priority": 2, "service": r.service, "max_attempts": 2,
 		})
 	}
--- a/review/standin-2/router.go
+++ b/review/standin-2/router.go
@@ -42,7 +42,7 @@
 func (r *router) poll(n *routed) {
 	c := &http.Client{Timeout: 400 * time.Millisecond}
 	for {
-		p, err := c.Get("http://" + n.ready + "/lentilshed/readiness")
+		p, err := c.Get("http://" + n.ready + wire("readiness"))
 		ok := err == nil && p.StatusCode == http.StatusOK
 		if err == nil {
 			_ = p.Body.Close()
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -25,17 +25,29 @@
 }
 
 type object struct {
-	Meta   objectMeta      `json:"meta"`
-	Spec   json.RawMessage `json:"spec"`
-	Status json.RawMessage `json:"status"`
+	Meta objectMeta      `json:"meta"`
+	Spec json.RawMessage `json:"spec"`
 }
 
 type objectMeta struct {
-	Name            string   `json:"name"`
-	Rev             uint64   `json:"rev"`
-	CreatedRev      uint64   `json:"created_rev"`
-	Finalizers      []string `json:"finalizers"`
-	DeletionPending bool     `json:"deletion_pending"`
+	Name       string `json:"name"`
+	Rev        uint64 `json:"rev"`
+	CreatedRev uint64 `json:"-"`
+}
+
+// MarshalJSON writes an object as the store answers it.
+func (o *object) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"meta": map[string]any{
+			"name":           o.Meta.Name,
+			"rev":            o.Meta.Rev,
+			"created_rev":    o.Meta.CreatedRev,
+			"finalizers":     []string{},
+			wire("deleting"): false,
+		},
+		"spec":   o.Spec,
+		"status": nil,
+	})
 }
 
 type change struct {
@@ -80,7 +92,7 @@
 	}
 	s.revision++
 	if o == nil {
-		o = &object{Meta: objectMeta{Name: name, CreatedRev: s.revision, Finalizers: []string{}}}
+		o = &object{Meta: objectMeta{Name: name, CreatedRev: s.revision}}
 		s.objects[kind][name] = o
 	}
 	o.Meta.Rev = s.revision
@@ -129,7 +141,7 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(q.URL.Path, "/lentilshed/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(q.URL.Path, wire("objects")), "/")
 	w.Header().Set("Content-Type", "application/json")
 	v := q.URL.Query()
 	switch {
@@ -161,7 +173,7 @@
 		for _, n := range l {
 			items = append(items, encode(s.objects[kind][n]))
 		}
-		b := encode(map[string]any{"items": items, "more": false, "at_rev": s.revision})
+		b := encode(map[string]any{"items": items, "more": false, wire("revision"): s.revision})
 		s.mu.Unlock()
 		_, _ = w.Write(b)
 	default:
@@ -186,7 +198,7 @@
 		changed := s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || last {
-			_, _ = w.Write(encode(map[string]any{"events": events, "at_rev": rev}))
+			_, _ = w.Write(encode(map[string]any{"events": events, wire("revision"): rev}))
 			return
 		}
 		select {
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -25,7 +25,7 @@
 	control  netip.AddrPort
 	slots    int
 	work     time.Duration
-	// firstSequence is the seq_no of the first heartbeat.
+	// firstSequence is the number of the first heartbeat.
 	firstSequence int
 }
 
@@ -117,15 +117,15 @@
 	defer t.mu.Unlock()
 	t.seqNo++
 	return map[string]any{
-		"service":         t.config.service,
-		"address":         t.config.app.String(),
-		"zone":            t.config.zone,
-		"version":         "v1",
-		"max_concurrency": t.config.slots,
-		"state":           t.state,
-		"warmup_left_ms":  0,
-		"seq_no":          t.seqNo,
-		"born":            t.born,
+		"service":        t.config.service,
+		"address":        t.config.app.String(),
+		"zone":           t.config.zone,
+		"version":        "v1",
+		wire("slots"):    t.config.slots,
+		"state":          t.state,
+		wire("cold"):     0,
+		wire("sequence"): t.seqNo,
+		"born":           t.born,
 	}
 }
 
@@ -148,7 +148,7 @@
 	if err != nil {
 		return 0, err
 	}
-	p, err := heartbeatClient.Post(fmt.Sprintf("http://%s/lentilshed/instances/%s/heartbeat", control, id), "application/json", bytes.NewReader(b))
+	p, err := heartbeatClient.Post(fmt.Sprintf("http://%s%s%s/heartbeat", control, wire("instances"), id), "application/json", bytes.NewReader(b))
 	if err != nil {
 		return 0, err
 	}
