--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -206,9 +206,10 @@
 	return resets > 0, nil
 }
 
-// routeMoved moves a route to another service while the process beside a target of the old one is
-// killed and started again, and looks for flows whose SYN was sent after the new version had taken
-// effect and that the old service took all the same.
+// routeMoved moves a route to another service and back, six times in all. Each time the process
+// beside a target of the service that had the route is killed and started again. It looks for flows
+// whose SYN was sent after the new version had taken effect and that the old service took all the
+// same.
 func routeMoved(repo string, rec *record, trouble bool) (bool, error) {
 	c, err := newCluster(repo, rec, []spec{
 		{"front-muenchen-a-1", "muenchen-a", ""},
@@ -233,27 +234,39 @@
 	}
 	stop := make(chan struct{})
 	var w sync.WaitGroup
-	load(x, address, 10*time.Millisecond, stop, &w)
+	load(x, address, 8*time.Millisecond, stop, &w)
 	time.Sleep(3 * time.Second)
-	killed := c.machine("side-muenchen-a-1")
-	if trouble {
-		c.kill(killed)
-	}
-	time.Sleep(300 * time.Millisecond)
-	c.configure(9, []route{{"r-new", "198.18.0.1", "ordo", 8080}})
-	time.Sleep(200 * time.Millisecond)
-	if trouble {
-		if err := c.startProcess(killed); err != nil {
+	broken := false
+	services := []string{"liedlive", "ordo"}
+	beside := []string{"side-muenchen-a-1", "side-muenchen-a-4"}
+	for round := range 6 {
+		from, to := services[round%2], services[(round+1)%2]
+		killed := c.machine(beside[round%2])
+		if trouble {
+			c.kill(killed)
+		}
+		time.Sleep(300 * time.Millisecond)
+		begin := time.Now()
+		c.configure(9+2*round, []route{{"r-" + to, "198.18.0.1", to, 8080}})
+		time.Sleep(200 * time.Millisecond)
+		if trouble {
+			if err := c.startProcess(killed); err != nil {
+				return false, err
+			}
+		}
+		time.Sleep(stability + time.Second)
+		regressed, err := rec.regressed(begin, to, from, 250*time.Millisecond)
+		if err != nil {
 			return false, err
 		}
+		broken = broken || regressed
 	}
-	time.Sleep(2500 * time.Millisecond)
 	close(stop)
 	w.Wait()
 	if !c.alive() {
 		return false, errors.New("a process ended by itself")
 	}
-	return rec.regressed("ordo", "liedlive", 250*time.Millisecond)
+	return broken, nil
 }
 
 // lostMachines replaces the four side machines of one zone three times over, one at a time: a
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -103,13 +103,14 @@
 }
 
 // regressed reports whether the old service took a flow whose first packet was sent more than
-// slack after a target of the new service had taken one. All packets went through one front.
-func (r *record) regressed(newService, oldService string, slack time.Duration) (bool, error) {
+// slack after a target of the new service had taken one, since a new version was written. All
+// packets went through one front.
+func (r *record) regressed(since time.Time, newService, oldService string, slack time.Duration) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var effect time.Time
 	for _, t := range r.taken {
-		if t.target.config.service == newService {
+		if t.target.config.service == newService && t.at.After(since) {
 			effect = t.at
 			break
 		}
