Show how long ago a balancer's state was confirmed as the newest

A late configuration could not be traced: logs and metrics did not say whether a balancer had not been told of a version, had been told wrongly that its own was the newest, or could not read it. No decision changes.

--- a/cmd/lentilshed/passthrough.go
+++ b/cmd/lentilshed/passthrough.go
@@ -197,7 +197,10 @@
 		return errors.Wrap(err, "start balancer")
 	}
 	p.stop = b.Stop
-	p.updateGauges = func(c tally.Scope) { balancerMetrics(c, b.Stats()) }
+	p.updateGauges = func(c tally.Scope) {
+		balancerMetrics(c, b.Stats())
+		ageGauges(c, b.Ages())
+	}
 	return p.listen(platform.NewBalancerHandler(b), s.ReadyAddress, s.CallsAddress)
 }
 
@@ -362,6 +365,9 @@
 	if event.Version != 0 {
 		e = e.Uint64("config_version", event.Version)
 	}
+	if event.Age != 0 {
+		e = e.Int64("age_ms", event.Age.Milliseconds())
+	}
 	if skipped > 0 {
 		e = e.Uint64("lines_left_out", skipped)
 	}
--- a/cmd/lentilshed/passthrough_metrics.go
+++ b/cmd/lentilshed/passthrough_metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lentilshed/lentilshed/director"
+	"github.com/lentilshed/lentilshed/freshness"
 	"github.com/lentilshed/lentilshed/holder"
 	"github.com/lentilshed/lentilshed/outlier"
 	"github.com/lentilshed/lentilshed/placement"
@@ -55,11 +56,23 @@
 	gauge(c, "agent_lists", s.ListRequests)
 	levelGauges(c, "flows_refused_by_priority", s.RefusedByLevel)
 	levelGauges(c, "flows_deferred", s.Deferred)
+	gauge(c, "config_version", uint64(s.ConfigVersion))
 	c.Gauge("flows_known").Update(float64(s.Hints))
 	c.Gauge("agents_known").Update(float64(s.Members))
 	c.Gauge("servers_ejected").Update(float64(s.ServersEjected))
 }
 
+// ageGauges updates the times since each piece of declared state was last confirmed as the
+// newest.
+func ageGauges(c tally.Scope, ages [freshness.Kinds]time.Duration) {
+	for k, age := range ages {
+		tags := map[string]string{
+			"state": freshness.Kind(k).Label(),
+		}
+		c.Tagged(tags).Gauge("state_age_seconds").Update(age.Seconds())
+	}
+}
+
 func agentMetrics(c tally.Scope, s holder.Stats) {
 	gauge(c, "flows_opened", s.Opened)
 	gauge(c, "flows_rebuilt", s.Rebuilt)
--- a/director/model.go
+++ b/director/model.go
@@ -229,6 +229,7 @@
 	s := m.stats
 	s.Hints = len(m.hints)
 	s.Members = len(m.members)
+	s.ConfigVersion = m.Version()
 	s.ServersEjected = m.ejectedMembers()
 	return s
 }
@@ -319,8 +320,9 @@
 	}
 	m.declared = msg.Config
 	m.emit(LogEffect{
-		Event: "configuration is in force",
-		Count: int(msg.Config.Version),
+		Event:  "configuration is in force",
+		Member: msg.Source,
+		Count:  int(msg.Config.Version),
 	})
 }
 
--- a/director/msg.go
+++ b/director/msg.go
@@ -60,6 +60,8 @@
 // one in force.
 type ConfigMsg struct {
 	Config *routing.Config
+	// Source names where the configuration was read, for the log.
+	Source string
 }
 
 // DomainsMsg lists the failure domains that operators have taken out of service.
--- a/director/stats.go
+++ b/director/stats.go
@@ -1,9 +1,12 @@
 package director
 
-import "github.com/lentilshed/lentilshed/placement"
+import (
+	"github.com/lentilshed/lentilshed/placement"
+	"github.com/lentilshed/lentilshed/routing"
+)
 
-// Stats counts what a balancer did since its start; Hints, Members and ServersEjected are
-// present numbers.
+// Stats counts what a balancer did since its start; Hints, Members, ConfigVersion and
+// ServersEjected are present values.
 type Stats struct {
 	Delivered       uint64
 	Placed          uint64
@@ -24,6 +27,7 @@
 	ListRequests    uint64
 	Hints           int
 	Members         int
+	ConfigVersion   routing.Version
 	ServersEjected  int
 	// RefusedByLevel counts the refused new flows by the level of their priority, and
 	// Deferred those that agents have deferred. They count only if load-aware.
--- a/freshness/model.go
+++ b/freshness/model.go
@@ -65,6 +65,18 @@
 	kinds
 )
 
+// Label returns the name of a kind of state in logs and metrics.
+func (k Kind) Label() string {
+	switch k {
+	case KindConfig:
+		return "configuration"
+	case KindDomains:
+		return "failure_domains"
+	default:
+		return "agents"
+	}
+}
+
 // Kinds is the number of kinds of declared state.
 const Kinds = int(kinds)
 
@@ -78,6 +90,8 @@
 	checkAfter time.Duration
 	checkedAt  time.Time
 	fetchedAt  time.Time
+	// overdue is set from an OverdueEffect to the next confirmation.
+	overdue bool
 }
 
 // State identifies a piece of declared state without its content.
@@ -162,6 +176,20 @@
 	To []netip.AddrPort
 }
 
+// OverdueEffect says that for longer than its limit and a usual read of the store, no
+// confirmation has come that the state in force is the newest.
+type OverdueEffect struct {
+	Kind Kind
+	Age  time.Duration
+}
+
+// ConfirmedAgainEffect ends what an OverdueEffect has said. Age is how much later than the
+// previous confirmation this one is.
+type ConfirmedAgainEffect struct {
+	Kind Kind
+	Age  time.Duration
+}
+
 // Update takes one message and returns the effects to perform. The result is valid
 // until the next call.
 func (m *Model) Update(now time.Time, msg Msg) []Effect {
@@ -203,7 +231,7 @@
 	}
 	for k, adopted := range m.adopted {
 		d.States[k] = adopted.state
-		d.Ages[k] = min(now.Sub(adopted.confirmedAt), maxAge)
+		d.Ages[k] = m.Age(now, Kind(k))
 	}
 	return d
 }
@@ -244,6 +272,7 @@
 	if d > 0 {
 		m.adopted[k].confirmedAt = at
 		m.drawCheckAge(k)
+		m.endOverdue(k, d)
 	}
 	return d
 }
@@ -308,6 +337,7 @@
 			})
 		}
 	}
+	m.reportOverdue(now)
 	if now.Sub(m.digestSentAt) >= digestInterval {
 		m.sweepPeers(now)
 		m.sendDigest(now)
--- a/host/declared.go
+++ b/host/declared.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	if d.Config != nil {
-		b.adoptConfig(d.Config)
+		b.adoptConfig(d.Config, from.String())
 	}
 	if d.DomainsRevision > 0 {
 		b.adoptDomains(d.Out, d.DomainsRevision)
--- a/host/freshness.go
+++ b/host/freshness.go
@@ -17,9 +17,13 @@
 	"github.com/zeebo/xxh3"
 )
 
-func (b *Balancer) adoptConfig(c *routing.Config) {
+// sourceStore is the source of state that this balancer has read from the store itself.
+const sourceStore = "store"
+
+func (b *Balancer) adoptConfig(c *routing.Config, source string) {
 	b.update(director.ConfigMsg{
 		Config: c,
+		Source: source,
 	})
 	b.updateFreshness(b.adoptedConfig())
 }
@@ -73,10 +77,36 @@
 			}
 		case freshness.SendDigestEffect:
 			b.sendDigest(now, x.To)
+		case freshness.OverdueEffect:
+			b.logAge("state in force is not confirmed as the newest; reading the store", x.Kind, x.Age)
+		case freshness.ConfirmedAgainEffect:
+			b.logAge("state in force is confirmed as the newest again", x.Kind, x.Age)
 		}
 	}
 }
 
+// logAge logs the age of a piece of state. The caller holds the lock.
+func (b *Balancer) logAge(event string, k freshness.Kind, age time.Duration) {
+	b.config.Log(LogEvent{
+		Event:   event,
+		Name:    k.Label(),
+		Age:     age,
+		Version: uint64(b.model.Version()),
+	})
+}
+
+// Ages returns the times since the state in force was last confirmed as the newest.
+func (b *Balancer) Ages() [freshness.Kinds]time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var l [freshness.Kinds]time.Duration
+	for k := range l {
+		l[k] = b.freshness.Age(now, freshness.Kind(k))
+	}
+	return l
+}
+
 // requestRead requests a read of the store, unless one is requested already.
 func (b *Balancer) requestRead(k freshness.Kind) {
 	select {
@@ -152,7 +182,7 @@
 		Wait:      b.config.Registry.WaitConfig,
 		WaitTime:  b.waitTime(freshness.KindConfig),
 		Refresh:   b.readRequests[freshness.KindConfig],
-		Changed:   func(c *routing.Config, _ store.Revision) { b.adoptConfig(c) },
+		Changed:   func(c *routing.Config, _ store.Revision) { b.adoptConfig(c, sourceStore) },
 		Confirmed: b.confirmed(freshness.KindConfig),
 		Failed:    b.errorLogger("cannot follow the configuration; retrying"),
 	}
--- a/host/log_event.go
+++ b/host/log_event.go
@@ -1,6 +1,10 @@
 package host
 
-import "github.com/lentilshed/lentilshed/flow"
+import (
+	"time"
+
+	"github.com/lentilshed/lentilshed/flow"
+)
 
 // LogEvent is one log line: a decision, a change of state or a failure.
 type LogEvent struct {
@@ -15,5 +19,7 @@
 	// Version is the version of the configuration in force at a decision; zero means
 	// none.
 	Version uint64
-	Err     error
+	// Age is the time since the state that the line is about was confirmed; zero means none.
+	Age time.Duration
+	Err error
 }
