--- a/freshness/model.go
+++ b/freshness/model.go
@@ -90,8 +90,8 @@
 	checkAfter time.Duration
 	checkedAt  time.Time
 	fetchedAt  time.Time
-	// overdue is set from an OverdueEffect to the next confirmation.
-	overdue bool
+	// overdue is the highest age since an OverdueEffect, zero once the age is below its limit.
+	overdue time.Duration
 }
 
 // State identifies a piece of declared state without its content.
@@ -183,8 +183,7 @@
 	Age  time.Duration
 }
 
-// ConfirmedAgainEffect ends what an OverdueEffect has said. Age is how much later than the
-// previous confirmation this one is.
+// ConfirmedAgainEffect ends what an OverdueEffect has said. Age is the highest age meanwhile.
 type ConfirmedAgainEffect struct {
 	Kind Kind
 	Age  time.Duration
@@ -272,7 +271,6 @@
 	if d > 0 {
 		m.adopted[k].confirmedAt = at
 		m.drawCheckAge(k)
-		m.endOverdue(k, d)
 	}
 	return d
 }
--- a/freshness/overdue.go
+++ b/freshness/overdue.go
@@ -11,30 +11,34 @@
 	return min(now.Sub(m.adopted[k].confirmedAt), maxAge)
 }
 
-// reportOverdue reports the state whose confirmation has become overdue since the last call.
+// reportOverdue reports when a confirmation becomes overdue, and when it has come.
 func (m *Model) reportOverdue(now time.Time) {
 	for k := range m.adopted {
-		adopted := &m.adopted[k]
-		age := m.Age(now, Kind(k))
-		if adopted.overdue || adopted.confirmedAt.IsZero() || age <= m.maxAges[k]+overdueMargin {
+		if m.adopted[k].confirmedAt.IsZero() {
 			continue
 		}
-		adopted.overdue = true
-		m.emit(OverdueEffect{
-			Kind: Kind(k),
-			Age:  age,
-		})
+		m.reportOverdueKind(now, Kind(k))
 	}
 }
 
-// endOverdue reports a confirmation that was overdue.
-func (m *Model) endOverdue(k Kind, age time.Duration) {
-	if !m.adopted[k].overdue {
-		return
+func (m *Model) reportOverdueKind(now time.Time, k Kind) {
+	adopted := &m.adopted[k]
+	age := m.Age(now, k)
+	limit := m.maxAges[k]
+	switch {
+	case adopted.overdue > 0 && age <= limit:
+		m.emit(ConfirmedAgainEffect{
+			Kind: k,
+			Age:  adopted.overdue,
+		})
+		adopted.overdue = 0
+	case adopted.overdue > 0:
+		adopted.overdue = max(adopted.overdue, age)
+	case age > limit+overdueMargin:
+		adopted.overdue = age
+		m.emit(OverdueEffect{
+			Kind: k,
+			Age:  age,
+		})
 	}
-	m.adopted[k].overdue = false
-	m.emit(ConfirmedAgainEffect{
-		Kind: k,
-		Age:  age,
-	})
 }
--- a/freshness/overdue_test.go
+++ b/freshness/overdue_test.go
@@ -43,16 +43,21 @@
 	require.Greater(t, overdue[0].Age, configAge)
 	require.Equal(t, 5*time.Second, m.Age(end, freshness.KindConfig))
 	require.Empty(t, again)
-	for range 2 {
+	confirm := func(at time.Time) {
 		update(end, freshness.ConfirmedMsg{
 			Kind: freshness.KindConfig,
-			At:   end,
+			At:   at,
 		})
+		update(end, freshness.TickMsg{})
 	}
+	confirm(start.Add(time.Second))
+	require.Empty(t, again, "a confirmation that is too old itself ends nothing")
+	confirm(end)
+	confirm(end)
 	require.Equal(t, []freshness.ConfirmedAgainEffect{
 		{
 			Kind: freshness.KindConfig,
-			Age:  5 * time.Second,
+			Age:  5*time.Second - step,
 		},
 	}, again)
 }
