Let a response take as long as parts of it arrive

Cause: a read of the store had to end within 0.8 s and a fetch from a peer within 0.6 s, whatever the size of the state. Over a link of 10 Mbit/s a large configuration takes longer, and each attempt began anew, beside the other one on the same link, so that it was never in force.

WithStallTimeout bounds the time without progress instead of the whole call: 0.8 and 0.6 s to the first part of the response, 0.7 s between parts. A balancer that is receiving the response to its wait makes no check beside it. All other reads of the registry and from peers had the same fault and use it, too.

--- a/host/agent_registry.go
+++ b/host/agent_registry.go
@@ -6,6 +6,7 @@
 
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/holder"
+	"github.com/lentilshed/lentilshed/store"
 )
 
 // register records each incarnation of the backend server before it takes flows. If
@@ -28,7 +29,7 @@
 // succeeds or an incarnation waits to be recorded by this process.
 func (a *Agent) readEarlierRecord(ctx context.Context) {
 	for ctx.Err() == nil && len(a.incarnations) == 0 {
-		c, cancel := context.WithTimeout(ctx, callTimeout)
+		c, cancel := store.WithStallTimeout(ctx, callTimeout)
 		incarnation, err := a.config.Registry.RecordedIncarnation(c, a.config.Name)
 		cancel()
 		if err == nil {
@@ -68,7 +69,7 @@
 
 // isRecorded reports whether the registry has the record of an incarnation, as far as is known.
 func (a *Agent) isRecorded(ctx context.Context, incarnation uint64) bool {
-	c, cancel := context.WithTimeout(ctx, callTimeout)
+	c, cancel := store.WithStallTimeout(ctx, callTimeout)
 	defer cancel()
 	x, err := a.config.Registry.CachedIncarnation(c, a.config.Name)
 	return err != nil || x == incarnation
@@ -113,7 +114,7 @@
 // followBalancers reads the list of balancers at the start and every balancersInterval.
 func (a *Agent) followBalancers(ctx context.Context) {
 	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, callTimeout)
+		c, cancel := store.WithStallTimeout(ctx, callTimeout)
 		l, err := a.config.Registry.Balancers(c)
 		cancel()
 		if err != nil {
@@ -136,7 +137,7 @@
 // followDeclared reads the declared configuration of the service every declaredInterval.
 func (a *Agent) followDeclared(ctx context.Context) {
 	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, callTimeout)
+		c, cancel := store.WithStallTimeout(ctx, callTimeout)
 		d, err := a.config.Registry.CachedConfig(c)
 		cancel()
 		if err != nil {
--- a/host/balancer.go
+++ b/host/balancer.go
@@ -86,7 +86,8 @@
 	flushDelay = 2 * time.Millisecond
 	// peersInterval is the time between two reads of the cached list of balancers.
 	peersInterval = 10 * time.Second
-	// callTimeout bounds one call to the registry.
+	// callTimeout bounds one call to the registry. For reads, it is the time for the first
+	// part of the response to arrive.
 	callTimeout = 800 * time.Millisecond
 	// callRetryDelay is the time between a failed call and the next attempt.
 	callRetryDelay = 250 * time.Millisecond
--- a/host/declared.go
+++ b/host/declared.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -25,10 +24,8 @@
 	declaredPath = "/declared"
 	agentsPath   = "/agents"
 	paramAfter   = "after"
-	// fetchTimeout bounds one fetch within a region.
+	// fetchTimeout is the time for the first part of the response to a fetch within a region.
 	fetchTimeout = 600 * time.Millisecond
-	// maxDeclared bounds the response to a fetch, in bytes.
-	maxDeclared = 8 << 20
 )
 
 // declaredState is the configuration and the failure domains out of service, as
@@ -89,7 +86,9 @@
 
 // fetchDeclared fetches newer state from peers that have it.
 func (b *Balancer) fetchDeclared(ctx context.Context) {
-	h := store.NewHTTPClient()
+	t := &store.Transport{
+		HTTP: store.NewHTTPClient(),
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -99,8 +98,8 @@
 			if x.Kind == freshness.KindAgents {
 				fetch = b.fetchAgents
 			}
-			c, cancel := context.WithTimeout(ctx, fetchTimeout)
-			err := fetch(c, h, x.From)
+			c, cancel := store.WithStallTimeout(ctx, fetchTimeout)
+			err := fetch(c, t, x.From)
 			cancel()
 			if err != nil {
 				b.errorLogger("cannot fetch newer state from peer " + x.From.String())(err)
@@ -110,9 +109,9 @@
 }
 
 // fetchConfig fetches the configuration and the failure domains out of service.
-func (b *Balancer) fetchConfig(ctx context.Context, h *http.Client, from netip.AddrPort) error {
+func (b *Balancer) fetchConfig(ctx context.Context, t *store.Transport, from netip.AddrPort) error {
 	var d declaredState
-	if err := fetchJSON(ctx, h, "http://"+from.String()+declaredPath, &d); err != nil {
+	if err := fetchJSON(ctx, t, "http://"+from.String()+declaredPath, &d); err != nil {
 		return err
 	}
 	if d.Config != nil {
@@ -125,30 +124,25 @@
 }
 
 // fetchAgents fetches the changes of the list of agents.
-func (b *Balancer) fetchAgents(ctx context.Context, h *http.Client, from netip.AddrPort) error {
+func (b *Balancer) fetchAgents(ctx context.Context, t *store.Transport, from netip.AddrPort) error {
 	b.mu.Lock()
 	after := b.agents.State().Revision
 	b.mu.Unlock()
 	var l agentList
-	if err := fetchJSON(ctx, h, fmt.Sprintf("http://%s%s?%s=%d", from, agentsPath, paramAfter, after), &l); err != nil {
+	if err := fetchJSON(ctx, t, fmt.Sprintf("http://%s%s?%s=%d", from, agentsPath, paramAfter, after), &l); err != nil {
 		return err
 	}
 	b.adoptAgents(l.Changes, l.Revision)
 	return nil
 }
 
-func fetchJSON(ctx context.Context, h *http.Client, url string, into any) error {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return errors.Wrap(err, "create request")
-	}
-	p, err := h.Do(q)
+func fetchJSON(ctx context.Context, t *store.Transport, url string, into any) error {
+	r, err := t.Call(ctx, http.MethodGet, url, nil, nil)
 	if err != nil {
-		return errors.Wrap(err, "send request")
+		return err
 	}
-	defer func() { _ = p.Body.Close() }()
-	if p.StatusCode != http.StatusOK {
-		return errors.Newf("unexpected status %d", p.StatusCode)
+	if r.Status != http.StatusOK {
+		return errors.Newf("unexpected status %d", r.Status)
 	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(p.Body, maxDeclared)).Decode(into), "decode response")
+	return errors.Wrap(json.Unmarshal(r.Body, into), "decode response")
 }
--- a/host/flow_snapshot.go
+++ b/host/flow_snapshot.go
@@ -11,6 +11,7 @@
 	"github.com/lentilshed/lentilshed/controlpb"
 	"github.com/lentilshed/lentilshed/director"
 	"github.com/lentilshed/lentilshed/relay"
+	"github.com/lentilshed/lentilshed/store"
 	"github.com/zeebo/xxh3"
 	"google.golang.org/protobuf/proto"
 )
@@ -81,7 +82,7 @@
 
 // restoreOtherDomains restores the snapshots of up to n balancers of other domains.
 func (b *Balancer) restoreOtherDomains(ctx context.Context, w *sync.WaitGroup, n int) {
-	c, cancel := context.WithTimeout(ctx, callTimeout)
+	c, cancel := store.WithStallTimeout(ctx, callTimeout)
 	l, err := b.config.Registry.Balancers(c)
 	cancel()
 	if err != nil {
@@ -116,7 +117,7 @@
 // retryLoad calls load until it succeeds, at most maxLoadAttempts times.
 func (b *Balancer) retryLoad(ctx context.Context, load func(context.Context) error) {
 	for range maxLoadAttempts {
-		c, cancel := context.WithTimeout(ctx, callTimeout)
+		c, cancel := store.WithStallTimeout(ctx, callTimeout)
 		err := load(c)
 		cancel()
 		if err == nil {
--- a/host/freshness.go
+++ b/host/freshness.go
@@ -139,7 +139,7 @@
 // followPeers reads the list of balancers every peersInterval.
 func (b *Balancer) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, callTimeout)
+		c, cancel := store.WithStallTimeout(ctx, callTimeout)
 		l, err := b.config.Registry.Balancers(c)
 		cancel()
 		if err != nil {
--- a/store/transport.go
+++ b/store/transport.go
@@ -71,7 +71,8 @@
 }
 
 // Call performs one HTTP call. An error means that no complete response arrived;
-// a write may have taken effect. A body above 8 MaxValueBytes is cut without an error.
+// a write may have taken effect. It is ErrStalled if the context has ended with this cause. A
+// body above 8 MaxValueBytes is cut without an error.
 func (t *Transport) Call(ctx context.Context, method, url string, body []byte, h http.Header) (Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
@@ -86,6 +87,9 @@
 	r, err := t.perform(request)
 	t.record(ctx, r, err)
 	if err != nil {
+		if stalled(ctx) {
+			err = errors.CombineErrors(ErrStalled, err)
+		}
 		t.count(method, "failed")
 		return Response{}, errors.Wrap(err, method)
 	}
@@ -99,7 +103,8 @@
 		return Response{}, errors.Wrap(err, "send request")
 	}
 	defer func() { _ = response.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(response.Body, 8*MaxValueBytes))
+	body := newProgressReader(request.Context(), response.Body)
+	b, err := io.ReadAll(io.LimitReader(body, 8*MaxValueBytes))
 	return Response{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -128,7 +133,8 @@
 
 // record passes the outcome of a call to the breaker, unless the call was cancelled here.
 func (t *Transport) record(ctx context.Context, r Response, err error) {
-	if t.Breaker == nil || errors.Is(ctx.Err(), context.Canceled) {
+	cancelled := errors.Is(ctx.Err(), context.Canceled) && !stalled(ctx)
+	if t.Breaker == nil || cancelled {
 		return
 	}
 	t.mu.Lock()
--- a/store/watcher.go
+++ b/store/watcher.go
@@ -40,9 +40,10 @@
 }
 
 const (
-	// readTimeout is many times the usual response time of the platform, 4 ms.
+	// readTimeout is the time for the first part of a response to arrive: many times the
+	// usual response time of the platform, 4 ms.
 	readTimeout = 800 * time.Millisecond
-	// waitMargin is added to a wait to get the timeout of its call.
+	// waitMargin is added to a wait to get the time for the first part of the response.
 	waitMargin = 700 * time.Millisecond
 	// minWait is the shortest wait that the platform accepts.
 	minWait = time.Millisecond
@@ -92,7 +93,7 @@
 
 func (w *Watcher[T]) read(ctx context.Context) (Revision, error) {
 	started := time.Now()
-	c, cancel := context.WithTimeout(ctx, readTimeout)
+	c, cancel := WithStallTimeout(ctx, readTimeout)
 	defer cancel()
 	x, at, err := w.Read(c)
 	if err != nil {
@@ -104,9 +105,10 @@
 }
 
 // await waits for a change. On Refresh it checks at once on another connection, as that of
-// the wait may have gone silent, and the wait goes on unless the check found a change.
+// the wait may have gone silent, and the wait goes on unless the check found a change. While the
+// response to the wait is arriving, there is no check: over a slow link, each would delay the other.
 func (w *Watcher[T]) await(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
-	c, cancel := context.WithCancel(ctx)
+	c, cancel := WithStallTimeout(ctx, wait+waitMargin)
 	defer cancel()
 	done := make(chan outcome[T], 1)
 	go func() { done <- w.call(c, after, wait) }()
@@ -119,7 +121,10 @@
 			}
 			return w.pause(ctx, at, w.Settle)
 		case <-w.Refresh:
-			o := w.call(ctx, after, minWait)
+			if receiving(c) {
+				continue
+			}
+			o := w.callNow(ctx, after)
 			at, err := w.adopt(o)
 			if err != nil || o.changed {
 				return at, err
@@ -138,7 +143,7 @@
 	case <-ctx.Done():
 	case <-t.C:
 	case <-w.Refresh:
-		return w.check(ctx, after, minWait)
+		return w.adopt(w.callNow(ctx, after))
 	}
 	return after, nil
 }
@@ -152,18 +157,18 @@
 	err     error
 }
 
-// check waits for a change for a bounded time.
-func (w *Watcher[T]) check(ctx context.Context, after Revision, wait time.Duration) (Revision, error) {
-	return w.adopt(w.call(ctx, after, wait))
+// callNow checks for a change without waiting for one.
+func (w *Watcher[T]) callNow(ctx context.Context, after Revision) outcome[T] {
+	c, cancel := WithStallTimeout(ctx, minWait+waitMargin)
+	defer cancel()
+	return w.call(c, after, minWait)
 }
 
 func (w *Watcher[T]) call(ctx context.Context, after Revision, wait time.Duration) outcome[T] {
 	o := outcome[T]{
 		started: time.Now(),
 	}
-	c, cancel := context.WithTimeout(ctx, wait+waitMargin)
-	defer cancel()
-	o.state, o.at, o.changed, o.err = w.Wait(c, after, wait)
+	o.state, o.at, o.changed, o.err = w.Wait(ctx, after, wait)
 	return o
 }
 
