Keep what a digest announces while a fetch is running

Cause: the digest that announced it came right after the fetch of the first one and was ignored; the next digest with it, or the balancer's own read, was seconds away. A failed fetch was not followed by one from another peer that had announced the same meanwhile, either.

The newest announcement is now kept until it is in force or the fetch from its sender has failed, and one fetch of a kind runs at a time. A state that has come from the store meanwhile is not fetched again. TestAnnouncementDuringAFetchIsNotLost failed before: one fetch instead of two. TestFailedFetchTriesTheNextPeer covers failures.

--- a/freshness/model.go
+++ b/freshness/model.go
@@ -89,7 +89,11 @@
 	// random, so that few balancers read the store and the others get their digests.
 	checkAfter time.Duration
 	checkedAt  time.Time
-	fetchedAt  time.Time
+	announced  announcement
+	// fetching is set from a FetchEffect to its FetchedMsg, and fetchedAt is when the
+	// latest fetch began.
+	fetching  bool
+	fetchedAt time.Time
 	// overdue is the highest age since an OverdueEffect, zero once the age is below its limit.
 	overdue time.Duration
 }
@@ -153,6 +157,14 @@
 	Addresses []netip.AddrPort
 }
 
+// FetchedMsg says that a fetch from a peer has ended. What it brought was in AdoptedMsg before.
+type FetchedMsg struct {
+	Kind     Kind
+	From     netip.AddrPort
+	Revision uint64
+	Failed   bool
+}
+
 // TickMsg drives timeouts.
 type TickMsg struct{}
 
@@ -164,10 +176,12 @@
 	Kind Kind
 }
 
-// FetchEffect fetches a newer piece of declared state from a peer.
+// FetchEffect fetches a newer piece of declared state from a peer. The runtime sends a
+// FetchedMsg at its end; there is one fetch of a kind at a time.
 type FetchEffect struct {
-	Kind Kind
-	From netip.AddrPort
+	Kind     Kind
+	From     netip.AddrPort
+	Revision uint64
 }
 
 // SendDigestEffect sends the result of Model.Digest to some peers. The runtime calls
@@ -213,6 +227,8 @@
 		}
 	case DigestMsg:
 		m.handleDigest(now, x)
+	case FetchedMsg:
+		m.handleFetched(now, x)
 	case TickMsg:
 		m.tick(now)
 	}
@@ -304,12 +320,8 @@
 			if Kind(k) != KindAgents {
 				newer = max(newer, d)
 			}
-		case msg.States[k].Revision > adopted.state.Revision && now.Sub(adopted.fetchedAt) > retryInterval:
-			adopted.fetchedAt = now
-			m.emit(FetchEffect{
-				Kind: Kind(k),
-				From: msg.From,
-			})
+		case msg.States[k].Revision > adopted.state.Revision:
+			m.announce(now, Kind(k), msg.States[k].Revision, msg.From)
 		}
 	}
 	m.forward(now, newer)
@@ -335,6 +347,9 @@
 			})
 		}
 	}
+	for k := range m.adopted {
+		m.fetchAnnounced(now, Kind(k))
+	}
 	m.reportOverdue(now)
 	if now.Sub(m.digestSentAt) >= digestInterval {
 		m.sweepPeers(now)
--- a/freshness/model_test.go
+++ b/freshness/model_test.go
@@ -36,8 +36,10 @@
 	// refused has the balancers whose calls the store refuses.
 	refused map[int]bool
 	fetched []freshness.FetchEffect
-	// toFetch has the balancers that were told of newer state.
-	toFetch map[int]bool
+	// toFetch has the balancers that were told of newer state, and lastFetch their latest
+	// fetch.
+	toFetch   map[int]bool
+	lastFetch map[int]freshness.FetchEffect
 }
 
 // sentDigest is a digest that has not been received yet.
@@ -53,10 +55,11 @@
 
 func newFleet(n int) *fleet {
 	f := &fleet{
-		refused: map[int]bool{},
-		toFetch: map[int]bool{},
-		index:   map[netip.AddrPort]int{},
-		rand:    rand.New(rand.NewPCG(uint64(n), 7)),
+		refused:   map[int]bool{},
+		toFetch:   map[int]bool{},
+		lastFetch: map[int]freshness.FetchEffect{},
+		index:     map[netip.AddrPort]int{},
+		rand:      rand.New(rand.NewPCG(uint64(n), 7)),
 	}
 	var all []netip.AddrPort
 	for i := range n {
@@ -103,6 +106,7 @@
 		case freshness.FetchEffect:
 			f.fetched = append(f.fetched, x)
 			f.toFetch[i] = true
+			f.lastFetch[i] = x
 		case freshness.ReadStoreEffect:
 			f.storeReads++
 			if !f.refused[i] {
@@ -222,8 +226,9 @@
 		f.tick(start.Add(time.Second))
 		require.Equal(t, []freshness.FetchEffect{
 			{
-				Kind: freshness.Kind(k),
-				From: peerAt(0),
+				Kind:     freshness.Kind(k),
+				From:     peerAt(0),
+				Revision: 2,
 			},
 		}, f.fetched)
 	}
@@ -252,6 +257,7 @@
 	for i, m := range f.models {
 		if f.toFetch[i] && m.Digest(now).States[freshness.KindConfig].Revision == 1 {
 			f.update(now, i, adoptedMsg(freshness.KindConfig, 2))
+			f.update(now, i, fetchedMsg(f.lastFetch[i]))
 			return
 		}
 	}
@@ -279,3 +285,58 @@
 	f.run(start, now, func(time.Time) {})
 	require.LessOrEqual(t, f.watchers(now, freshness.KindAgents), 3)
 }
+
+// TestAnnouncementDuringAFetchIsNotLost announces a second version right after the first: the
+// next digest of a peer may be seconds away.
+func TestAnnouncementDuringAFetchIsNotLost(t *testing.T) {
+	f := newFleet(2)
+	now := start.Add(time.Second)
+	f.update(now, 1, digestOf(0, 2))
+	require.Len(t, f.fetched, 1)
+	f.update(now.Add(100*time.Millisecond), 1, adoptedMsg(freshness.KindConfig, 2))
+	f.update(now.Add(110*time.Millisecond), 1, digestOf(0, 3))
+	f.update(now.Add(115*time.Millisecond), 1, fetchedMsg(f.fetched[0]))
+	for i := range 100 {
+		f.update(now.Add(time.Duration(i)*step+120*time.Millisecond), 1, freshness.TickMsg{})
+	}
+	require.Len(t, f.fetched, 2)
+}
+
+func fetchedMsg(e freshness.FetchEffect) freshness.FetchedMsg {
+	return freshness.FetchedMsg{
+		Kind:     e.Kind,
+		From:     e.From,
+		Revision: e.Revision,
+	}
+}
+
+// TestFailedFetchTriesTheNextPeer has the fetch from one peer fail after another one has
+// announced the same version.
+func TestFailedFetchTriesTheNextPeer(t *testing.T) {
+	f := newFleet(3)
+	now := start.Add(time.Second)
+	f.update(now, 2, digestOf(0, 2))
+	f.update(now.Add(100*time.Millisecond), 2, digestOf(1, 2))
+	for _, want := range []int{0, 1} {
+		last := f.fetched[len(f.fetched)-1]
+		require.Equal(t, peerAt(want), last.From)
+		now = now.Add(600 * time.Millisecond)
+		failed := fetchedMsg(last)
+		failed.Failed = true
+		f.update(now, 2, failed)
+	}
+	f.update(now.Add(time.Second), 2, freshness.TickMsg{})
+	require.Len(t, f.fetched, 2, "no peer is asked twice for one announcement")
+}
+
+// digestOf returns the digest of a balancer that has a version of the configuration in force.
+func digestOf(i int, version uint64) freshness.DigestMsg {
+	d := freshness.DigestMsg{
+		From: peerAt(i),
+	}
+	d.States[freshness.KindConfig] = freshness.State{
+		Revision: version,
+		Hash:     version,
+	}
+	return d
+}
--- a/host/balancer.go
+++ b/host/balancer.go
@@ -70,7 +70,7 @@
 	// readRequests has a channel for each kind of state, which makes the watcher of
 	// that state check the store at once.
 	readRequests [freshness.Kinds]chan struct{}
-	// fetches requests a fetch of newer state from a peer.
+	// fetches has the requested fetches of newer state from peers, one of a kind at most.
 	fetches chan freshness.FetchEffect
 	server  *http.Server
 	// packetCount counts packets of callers, so that Stop can wait until none come.
@@ -129,7 +129,7 @@
 			Seed:          xxh3.HashString(c.Name),
 		}),
 		agents:  listing.NewAgents(),
-		fetches: make(chan freshness.FetchEffect, 1),
+		fetches: make(chan freshness.FetchEffect, freshness.Kinds),
 	}
 	for k := range b.readRequests {
 		b.readRequests[k] = make(chan struct{}, 1)
--- a/host/declared.go
+++ b/host/declared.go
@@ -94,20 +94,36 @@
 		case <-ctx.Done():
 			return
 		case x := <-b.fetches:
-			fetch := b.fetchConfig
-			if x.Kind == freshness.KindAgents {
-				fetch = b.fetchAgents
-			}
-			c, cancel := store.WithStallTimeout(ctx, fetchTimeout)
-			err := fetch(c, t, x.From)
-			cancel()
+			err := b.fetch(ctx, t, x)
 			if err != nil {
 				b.errorLogger("cannot fetch newer state from peer " + x.From.String())(err)
 			}
+			b.updateFreshness(freshness.FetchedMsg{
+				Kind:     x.Kind,
+				From:     x.From,
+				Revision: x.Revision,
+				Failed:   err != nil,
+			})
 		}
 	}
 }
 
+// fetch fetches newer state from a peer, unless it has come from elsewhere meanwhile.
+func (b *Balancer) fetch(ctx context.Context, t *store.Transport, x freshness.FetchEffect) error {
+	b.mu.Lock()
+	lacks := b.freshness.Lacks(x.Kind, x.Revision)
+	b.mu.Unlock()
+	if !lacks {
+		return nil
+	}
+	c, cancel := store.WithStallTimeout(ctx, fetchTimeout)
+	defer cancel()
+	if x.Kind == freshness.KindAgents {
+		return b.fetchAgents(c, t, x.From)
+	}
+	return b.fetchConfig(c, t, x.From)
+}
+
 // fetchConfig fetches the configuration and the failure domains out of service.
 func (b *Balancer) fetchConfig(ctx context.Context, t *store.Transport, from netip.AddrPort) error {
 	var d declaredState
--- a/host/freshness.go
+++ b/host/freshness.go
@@ -71,10 +71,7 @@
 		case freshness.ReadStoreEffect:
 			b.requestRead(x.Kind)
 		case freshness.FetchEffect:
-			select {
-			case b.fetches <- x:
-			default:
-			}
+			b.fetches <- x
 		case freshness.SendDigestEffect:
 			b.sendDigest(now, x.To)
 		case freshness.OverdueEffect:
