Leave out what was never confirmed from the overdue report, and end a test sooner

A balancer that has just started got ages of an hour from peers that had not confirmed anything either, and logged them as overdue.

--- a/freshness/overdue.go
+++ b/freshness/overdue.go
@@ -26,6 +26,8 @@
 	age := m.Age(now, k)
 	limit := m.maxAges[k]
 	switch {
+	case age >= maxAge:
+		// It has not been confirmed since the start.
 	case adopted.overdue > 0 && age <= limit:
 		m.emit(ConfirmedAgainEffect{
 			Kind: k,
--- a/store/stall_test.go
+++ b/store/stall_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -11,23 +12,31 @@
 	"github.com/stretchr/testify/require"
 )
 
+// responseSize is the size of the whole response in bytes.
+const responseSize = 3000
+
 // part is a part of a response and the time before it is sent.
 type part struct {
 	after time.Duration
 	bytes int
 }
 
-// callParts makes a call whose response comes in parts, after which the server sends nothing.
+// callParts makes a call whose response comes in parts. If they are not all of it, the server
+// sends nothing more.
 func callParts(t *testing.T, b *store.Breaker, parts []part) (int, error) {
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		w.Header().Set("Content-Length", "3000")
+		w.Header().Set("Content-Length", strconv.Itoa(responseSize))
+		sent := 0
 		for _, p := range parts {
 			time.Sleep(p.after)
-			_, _ = w.Write(make([]byte, p.bytes))
+			n, _ := w.Write(make([]byte, p.bytes))
 			_ = http.NewResponseController(w).Flush()
+			sent += n
+		}
+		if sent < responseSize {
+			<-q.Context().Done()
 		}
-		<-q.Context().Done()
 	}))
 	t.Cleanup(s.Close)
 	x := &store.Transport{
@@ -56,7 +65,7 @@
 		},
 	})
 	require.NoError(t, err)
-	require.Equal(t, 3000, n)
+	require.Equal(t, responseSize, n)
 }
 
 // TestStalledResponseFails has responses stop before their first part and after it. The breaker
