Close idle connections after a call without a response

A client of the store keeps four idle ones. After a call on one had failed, the next call took another of them, so that four calls of 0.7 to 0.8 s each could fail one after the other, and the breaker opened in between: longer than a configuration may be late.

A call that gets no response now closes all idle connections of its client. The clients of other balancers use the same transport. TestSilentConnectionsFailOneCall failed before at the second call.

--- a/standin/slowlink/link.go
+++ b/standin/slowlink/link.go
@@ -28,6 +28,8 @@
 	toCaller pacer
 	mu       sync.Mutex
 	conns    []net.Conn
+	// epoch counts the calls of Silence.
+	epoch int
 }
 
 // New returns a running link.
@@ -55,6 +57,20 @@
 	return l.listener.Addr().String()
 }
 
+// Silence drops all further data on the connections that are open now, without closing them.
+// New connections work.
+func (l *Link) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.epoch++
+}
+
+func (l *Link) present() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.epoch
+}
+
 // Close stops the link and closes its connections.
 func (l *Link) Close() {
 	_ = l.listener.Close()
@@ -91,12 +107,16 @@
 		_ = to.Close()
 		_ = from.Close()
 	}()
+	epoch := l.present()
 	b := make([]byte, 4<<10)
 	for {
 		n, err := from.Read(b)
 		if err != nil {
 			return
 		}
+		if l.present() != epoch {
+			continue
+		}
 		p.wait(n)
 		if _, err := to.Write(b[:n]); err != nil {
 			return
--- a/store/transport.go
+++ b/store/transport.go
@@ -90,6 +90,10 @@
 		if stalled(ctx) {
 			err = errors.CombineErrors(ErrStalled, err)
 		}
+		if !cancelled(ctx) {
+			// The other idle connections may have gone silent with this one.
+			t.HTTP.CloseIdleConnections()
+		}
 		t.count(method, "failed")
 		return Response{}, errors.Wrap(err, method)
 	}
@@ -133,8 +137,7 @@
 
 // record passes the outcome of a call to the breaker, unless the call was cancelled here.
 func (t *Transport) record(ctx context.Context, r Response, err error) {
-	cancelled := errors.Is(ctx.Err(), context.Canceled) && !stalled(ctx)
-	if t.Breaker == nil || cancelled {
+	if t.Breaker == nil || cancelled(ctx) {
 		return
 	}
 	t.mu.Lock()
@@ -147,6 +150,11 @@
 	}
 }
 
+// cancelled reports whether the caller has ended a call.
+func cancelled(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !stalled(ctx)
+}
+
 func (t *Transport) count(method, outcome string) {
 	if t.Count != nil {
 		t.Count(method, outcome)
