Read large values of the intent store over slow links, too

Reads now use the stall timeout; writes keep theirs, as their outcome must not stay open for longer. TestLargeValueIsReadOverASlowLink failed before: 1 MB over 10 Mbit/s with a timeout of 0.5 s.

--- a/store/client.go
+++ b/store/client.go
@@ -57,7 +57,8 @@
 type Config struct {
 	// BaseURL is the URL of the API, such as "http://127.0.0.1:8700".
 	BaseURL string
-	// Timeout bounds one attempt of one call except Watch; zero means one second.
+	// Timeout bounds one attempt of one write, and the time until the first part of a response
+	// to a read except Watch; zero means one second.
 	Timeout time.Duration
 	// HTTP is the client to use; nil means NewHTTPClient.
 	HTTP *http.Client
@@ -115,7 +116,7 @@
 // object. It returns ErrNotFound while the object does not exist, and the
 // unchanged object when wait has passed without a change.
 func (c *Client) Watch(ctx context.Context, k Key, after Version, wait time.Duration) (Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	ctx, cancel := WithStallTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	q := url.Values{}
 	q.Set("after", strconv.FormatUint(uint64(after), 10))
--- a/store/retry_budget.go
+++ b/store/retry_budget.go
@@ -76,7 +76,7 @@
 }
 
 func (c *Client) attempt(ctx context.Context, f func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
+	ctx, cancel := WithStallTimeout(ctx, c.config.Timeout)
 	defer cancel()
 	return f(ctx)
 }
