Send a repeated first packet where its route leads now

Cause: the agent that was chosen before was checked for its failure domain, availability and report, but not against the configuration in force. A flow that waits at agents that have deferred it had the same gap.

Both now use mayOpen, which requires that the route opens flows at the agent's service; a service without weight gets no copy, either.

--- a/director/admission.go
+++ b/director/admission.go
@@ -57,7 +57,7 @@
 			return agent
 		}
 	}
-	if agent := m.nextDeferring(h); agent != nil {
+	if agent := m.nextDeferring(r, h); agent != nil {
 		return agent
 	}
 	agent, _ := m.chooseByDelay(now, r, service, h, s, limits)
--- a/director/place.go
+++ b/director/place.go
@@ -37,7 +37,7 @@
 		}
 	}
 	h.lastUsed = now
-	if h.member != nil && m.reusesTarget(now, h.member) {
+	if h.member != nil && m.reusesTarget(now, r, h.member) {
 		m.noteOpened(now, h.member)
 		m.send(h.member, s.Tuple, data, false)
 		return
@@ -47,8 +47,15 @@
 
 // reusesTarget reports whether a retransmitted first packet goes to the agent that the
 // first one went to.
-func (m *Model) reusesTarget(now time.Time, agent *member) bool {
-	return !m.outOfService[agent.Domain] && agent.acceptsFlows() && now.Sub(agent.lastReport) < maxReuseReportAge && m.members[agent.Name] == agent
+func (m *Model) reusesTarget(now time.Time, r routing.Route, agent *member) bool {
+	return now.Sub(agent.lastReport) < maxReuseReportAge && m.mayOpen(r, agent)
+}
+
+// mayOpen reports whether an agent that was chosen for a new flow before may still get it: also
+// the configuration may have changed since.
+func (m *Model) mayOpen(r routing.Route, agent *member) bool {
+	known := m.members[agent.Name] == agent
+	return known && r.Opens(agent.Service) && !m.outOfService[agent.Domain] && agent.acceptsFlows()
 }
 
 // place chooses an agent for a new flow.
@@ -66,7 +73,7 @@
 	if m.config.LoadAware {
 		agent = m.chooseByDelayOrWait(now, r, service, h, s)
 	} else {
-		agent = m.chooseOrWait(now, service, h, s.Tuple.Hash(placeSalt))
+		agent = m.chooseOrWait(now, r, service, h, s.Tuple.Hash(placeSalt))
 	}
 	switch {
 	case agent != nil:
@@ -112,25 +119,25 @@
 // chooseOrWait chooses an agent for a new flow. Once targets have deferred the flow, it
 // returns another one only if that is likely to serve the flow sooner; then it lets the flow
 // wait at those that have deferred it, in turn, before it tries others.
-func (m *Model) chooseOrWait(now time.Time, service string, h *hint, seed uint64) *member {
+func (m *Model) chooseOrWait(now time.Time, r routing.Route, service string, h *hint, seed uint64) *member {
 	if !h.waits && len(h.deferred) < maxDeferrals {
 		agent := m.choose(now, service, h, seed)
 		if len(h.deferred) == 0 || (agent != nil && m.servesSooner(now, agent, h.deferred[0])) {
 			return agent
 		}
 	}
-	if agent := m.nextDeferring(h); agent != nil {
+	if agent := m.nextDeferring(r, h); agent != nil {
 		return agent
 	}
 	return m.choose(now, service, h, seed)
 }
 
 // nextDeferring returns the next agent at which a flow waits that was deferred there, or nil.
-func (m *Model) nextDeferring(h *hint) *member {
+func (m *Model) nextDeferring(r routing.Route, h *hint) *member {
 	for len(h.deferred) > 0 {
 		agent := h.deferred[0]
 		h.deferred = h.deferred[1:]
-		if m.members[agent.Name] == agent && !m.outOfService[agent.Domain] && agent.acceptsFlows() {
+		if m.mayOpen(r, agent) {
 			h.waits = true
 			return agent
 		}
--- a/routing/route.go
+++ b/routing/route.go
@@ -39,6 +39,16 @@
 	return "", false
 }
 
+// Opens reports whether new flows of a route may go to a service.
+func (r Route) Opens(service string) bool {
+	for _, s := range r.Shares {
+		if s.Service == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Includes reports whether a route names a service, whatever its weight.
 func (r Route) Includes(service string) bool {
 	for _, s := range r.Shares {
--- a/routing/route_test.go
+++ b/routing/route_test.go
@@ -37,6 +37,8 @@
 	require.InDelta(t, 18_000, got["boards"], 300)
 	require.Zero(t, got["resting"])
 	require.True(t, r.Includes("resting"), "open flows of a service without weight stay there")
+	require.False(t, r.Opens("resting"))
+	require.True(t, r.Opens("layouts"))
 	_, ok := routing.Route{}.Service(flow.Tuple{})
 	require.False(t, ok)
 }
