--- a/host/balancer.go
+++ b/host/balancer.go
@@ -70,9 +70,11 @@
 	// readRequests has a channel for each kind of state, which makes the watcher of
 	// that state check the store at once.
 	readRequests [freshness.Kinds]chan struct{}
-	// fetches has the requested fetches of newer state from peers, one of a kind at most.
-	fetches chan freshness.FetchEffect
-	server  *http.Server
+	// fetches and agentFetches have the requested fetches of newer state from peers, one of a
+	// kind at most.
+	fetches      chan freshness.FetchEffect
+	agentFetches chan freshness.FetchEffect
+	server       *http.Server
 	// declared has the response to fetches of the declared state.
 	declared declaredBody
 	// packetCount counts packets of callers, so that Stop can wait until none come.
@@ -130,8 +132,9 @@
 			Watchers:      maxWatchers,
 			Seed:          xxh3.HashString(c.Name),
 		}),
-		agents:  listing.NewAgents(),
-		fetches: make(chan freshness.FetchEffect, freshness.Kinds),
+		agents:       listing.NewAgents(),
+		fetches:      make(chan freshness.FetchEffect, freshness.Kinds),
+		agentFetches: make(chan freshness.FetchEffect, 1),
 	}
 	for k := range b.readRequests {
 		b.readRequests[k] = make(chan struct{}, 1)
@@ -174,7 +177,8 @@
 	b.run(func() { b.followDomains(ctx) })
 	b.run(func() { b.followAgents(ctx) })
 	b.run(func() { b.followPeers(ctx) })
-	b.run(func() { b.fetchDeclared(ctx) })
+	b.run(func() { b.fetchFrom(ctx, b.fetches) })
+	b.run(func() { b.fetchFrom(ctx, b.agentFetches) })
 	b.run(func() { b.register(ctx) })
 	b.run(func() { b.runSnapshots(ctx) })
 	b.run(func() { b.runTicks(ctx) })
--- a/host/declared.go
+++ b/host/declared.go
@@ -68,7 +68,7 @@
 		var l agentList
 		l.Changes, l.Revision = b.agents.Since(store.Revision(after))
 		b.mu.Unlock()
-		if err := json.NewEncoder(w).Encode(l); err != nil {
+		if err := writeJSON(w, q, func() ([]byte, error) { return compressJSON(l) }, l); err != nil {
 			b.errorLogger("list of agents was not sent to a peer")(err)
 		}
 	})
@@ -80,8 +80,7 @@
 	return nil
 }
 
-// writeDeclared writes the state in force, compressed unless the peer is of a version that does
-// not accept that.
+// writeDeclared writes the state in force.
 func (b *Balancer) writeDeclared(w http.ResponseWriter, q *http.Request) error {
 	b.mu.Lock()
 	d := declaredState{
@@ -90,10 +89,16 @@
 		DomainsRevision: b.model.DomainsRevision(),
 	}
 	b.mu.Unlock()
+	return writeJSON(w, q, func() ([]byte, error) { return b.declared.get(d) }, d)
+}
+
+// writeJSON writes a response, compressed unless the peer is of a version that does not accept
+// that.
+func writeJSON(w http.ResponseWriter, q *http.Request, compressed func() ([]byte, error), x any) error {
 	if !strings.Contains(q.Header.Get("Accept-Encoding"), encodingGzip) {
-		return errors.Wrap(json.NewEncoder(w).Encode(d), "write response")
+		return errors.Wrap(json.NewEncoder(w).Encode(x), "write response")
 	}
-	body, err := b.declared.get(d)
+	body, err := compressed()
 	if err != nil {
 		return err
 	}
@@ -102,8 +107,9 @@
 	return errors.Wrap(err, "write response")
 }
 
-// fetchDeclared fetches newer state from peers that have it.
-func (b *Balancer) fetchDeclared(ctx context.Context) {
+// fetchFrom performs the fetches in a queue. The list of agents has a queue of its own: it may
+// take long, and a configuration must not wait for it.
+func (b *Balancer) fetchFrom(ctx context.Context, queue <-chan freshness.FetchEffect) {
 	t := &store.Transport{
 		HTTP: store.NewHTTPClient(),
 	}
@@ -111,7 +117,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case x := <-b.fetches:
+		case x := <-queue:
 			err := b.fetch(ctx, t, x)
 			if err != nil {
 				b.errorLogger("cannot fetch newer state from peer " + x.From.String())(err)
--- a/host/freshness.go
+++ b/host/freshness.go
@@ -71,7 +71,7 @@
 		case freshness.ReadStoreEffect:
 			b.requestRead(x.Kind)
 		case freshness.FetchEffect:
-			b.fetches <- x
+			b.requestFetch(x)
 		case freshness.SendDigestEffect:
 			b.sendDigest(now, x.To)
 		case freshness.OverdueEffect:
@@ -82,6 +82,14 @@
 	}
 }
 
+func (b *Balancer) requestFetch(x freshness.FetchEffect) {
+	if x.Kind == freshness.KindAgents {
+		b.agentFetches <- x
+		return
+	}
+	b.fetches <- x
+}
+
 // logAge logs the age of a piece of state. The caller holds the lock.
 func (b *Balancer) logAge(event string, k freshness.Kind, age time.Duration) {
 	b.config.Log(LogEvent{
