Name a missing confirmation apart from an overdue request

The glossary has 'overdue' for a request whose response was probably lost, so the report of state that has not been confirmed for too long is named after that. announcement, confirmation and stall are in the glossary. No change of behaviour.

--- a/freshness/model.go
+++ b/freshness/model.go
@@ -94,8 +94,9 @@
 	// latest fetch began.
 	fetching  bool
 	fetchedAt time.Time
-	// overdue is the highest age since an OverdueEffect, zero once the age is below its limit.
-	overdue time.Duration
+	// unconfirmed is the highest age since an UnconfirmedEffect, zero once the age is below its
+	// limit.
+	unconfirmed time.Duration
 }
 
 // State identifies a piece of declared state without its content.
@@ -190,14 +191,14 @@
 	To []netip.AddrPort
 }
 
-// OverdueEffect says that for longer than its limit and a usual read of the store, no
+// UnconfirmedEffect says that for longer than its limit and a usual read of the store, no
 // confirmation has come that the state in force is the newest.
-type OverdueEffect struct {
+type UnconfirmedEffect struct {
 	Kind Kind
 	Age  time.Duration
 }
 
-// ConfirmedAgainEffect ends what an OverdueEffect has said. Age is the highest age meanwhile.
+// ConfirmedAgainEffect ends what an UnconfirmedEffect has said. Age is the highest age meanwhile.
 type ConfirmedAgainEffect struct {
 	Kind Kind
 	Age  time.Duration
@@ -350,7 +351,7 @@
 	for k := range m.adopted {
 		m.fetchAnnounced(now, Kind(k))
 	}
-	m.reportOverdue(now)
+	m.reportUnconfirmed(now)
 	if now.Sub(m.digestSentAt) >= digestInterval {
 		m.sweepPeers(now)
 		m.sendDigest(now)
--- a/freshness/overdue_test.go
+++ b/freshness/unconfirmed_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestOverdueConfirmationIsReportedOnce keeps all confirmations from a balancer for a while.
-func TestOverdueConfirmationIsReportedOnce(t *testing.T) {
+// TestMissingConfirmationIsReportedOnce keeps all confirmations from a balancer for a while.
+func TestMissingConfirmationIsReportedOnce(t *testing.T) {
 	m := freshness.NewModel(freshness.Config{
 		Name:          "balancer-0",
 		Address:       peerAt(0),
@@ -17,13 +17,13 @@
 		MaxDomainsAge: domainsAge,
 		MaxAgentsAge:  agentsAge,
 	})
-	var overdue []freshness.OverdueEffect
+	var unconfirmed []freshness.UnconfirmedEffect
 	var again []freshness.ConfirmedAgainEffect
 	update := func(now time.Time, msg freshness.Msg) {
 		for _, e := range m.Update(now, msg) {
 			switch x := e.(type) {
-			case freshness.OverdueEffect:
-				overdue = append(overdue, x)
+			case freshness.UnconfirmedEffect:
+				unconfirmed = append(unconfirmed, x)
 			case freshness.ConfirmedAgainEffect:
 				again = append(again, x)
 			}
@@ -38,9 +38,9 @@
 	for now := start; now.Before(end); now = now.Add(step) {
 		update(now, freshness.TickMsg{})
 	}
-	require.Len(t, overdue, 1)
-	require.Equal(t, freshness.KindConfig, overdue[0].Kind)
-	require.Greater(t, overdue[0].Age, configAge)
+	require.Len(t, unconfirmed, 1)
+	require.Equal(t, freshness.KindConfig, unconfirmed[0].Kind)
+	require.Greater(t, unconfirmed[0].Age, configAge)
 	require.Equal(t, 5*time.Second, m.Age(end, freshness.KindConfig))
 	require.Empty(t, again)
 	confirm := func(at time.Time) {
--- a/host/declared.go
+++ b/host/declared.go
@@ -107,9 +107,9 @@
 	return errors.Wrap(err, "write response")
 }
 
-// fetchFrom performs the fetches in a queue. The list of agents has a queue of its own: it may
+// runFetches performs the fetches in a queue until the context ends. The list of agents has a queue of its own: it may
 // take long, and a configuration must not wait for it.
-func (b *Balancer) fetchFrom(ctx context.Context, queue <-chan freshness.FetchEffect) {
+func (b *Balancer) runFetches(ctx context.Context, queue <-chan freshness.FetchEffect) {
 	t := &store.Transport{
 		HTTP: store.NewHTTPClient(),
 	}
--- a/host/freshness.go
+++ b/host/freshness.go
@@ -74,7 +74,7 @@
 			b.requestFetch(x)
 		case freshness.SendDigestEffect:
 			b.sendDigest(now, x.To)
-		case freshness.OverdueEffect:
+		case freshness.UnconfirmedEffect:
 			b.logAge("state in force is not confirmed as the newest; reading the store", x.Kind, x.Age)
 		case freshness.ConfirmedAgainEffect:
 			b.logAge("state in force is confirmed as the newest again", x.Kind, x.Age)
